--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# Everything a newcomer needs: `make demo` and `make test`.
+PACKAGES := build-essential cmake pkg-config git \
+  libglib2.0-dev libcereal-dev libboost1.81-dev libsoup-3.0-dev libpopt-dev \
+  libgoogle-glog-dev libcpputest-dev nlohmann-json3-dev \
+  clang-format-14 clang-tidy-19
+BUILD := build
+JOBS := $(shell nproc)
+SUDO := $(if $(filter 0,$(shell id -u)),,sudo)
+SOURCES = $(shell git ls-files '*.h' '*.cpp')
+
+.PHONY: setup build demo test format format-check lint performance capacity clean
+
+# Installs what is missing, and nothing if all is there.
+setup:
+	@dpkg-query -W -f='$${Status}\n' $(PACKAGES) 2>/dev/null | \
+	  awk '/^install ok installed/{n++} END{exit n!=$(words $(PACKAGES))}' || \
+	  ($(SUDO) apt-get update && \
+	   $(SUDO) env DEBIAN_FRONTEND=noninteractive apt-get install -y --no-install-recommends $(PACKAGES))
+
+build: setup
+	@cmake -S . -B $(BUILD) > /dev/null
+	@$(MAKE) --no-print-directory -C $(BUILD) -j$(JOBS) | grep -vE '^\[|Entering|Leaving|Consolidate' || true
+	@$(MAKE) --no-print-directory -s -C $(BUILD)
+
+demo: build
+	$(BUILD)/bin/demo examples/agencia
+
+demo-karamanlis: build
+	$(BUILD)/bin/demo examples/karamanlis
+
+test: build
+	cd $(BUILD) && ctest --output-on-failure
+
+performance: build
+	$(BUILD)/bin/measure-added-latency
+
+capacity: build
+	$(BUILD)/bin/measure-decisions
+	$(BUILD)/bin/measure-control
+
+format:
+	clang-format-14 -i $(SOURCES)
+
+format-check: setup
+	clang-format-14 --dry-run --Werror $(SOURCES)
+
+# The version that understands this compiler's ranges.
+lint: build
+	git ls-files '*.cpp' | xargs -P$(JOBS) -n4 clang-tidy-19 -p $(BUILD) --quiet
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/base/Settings.cpp
@@ -0,0 +1,100 @@
+#include "base/Settings.h"
+
+#include "base/SettingsReader.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <memory>
+
+namespace plantainhatch {
+
+namespace {
+
+using internal::SettingsReader;
+
+constexpr std::size_t MinKeySize = 16;
+
+std::string readKey(SettingsReader &reader, const std::string &settingsFile) {
+  const std::string name = reader.requireText("keyFile");
+  if (name.empty())
+    return {};
+  const auto path = std::filesystem::path(settingsFile).parent_path() / name;
+  auto content = readFile(path.string());
+  if (!content) {
+    reader.report("keyFile", content.error().front().message);
+    return {};
+  }
+  if (content.value().size() < MinKeySize)
+    reader.report("keyFile", "the key is shorter than " +
+                                 std::to_string(MinKeySize) + " bytes");
+  return std::move(content).value();
+}
+
+void requireDistinctPorts(SettingsReader &reader,
+                          const NodeSettings &settings) {
+  if (!settings.callers.isEmpty() && settings.callers == settings.targets)
+    reader.report("targets",
+                  "has the same address as callers; give it a port of its own");
+  if (!settings.peers.isEmpty() && settings.peers == settings.callers)
+    reader.report("peers",
+                  "has the same address as callers; give it a port of its own");
+  if (!settings.peers.isEmpty() && settings.peers == settings.targets)
+    reader.report("peers",
+                  "has the same address as targets; give it a port of its own");
+}
+
+} // namespace
+
+Checked<std::string> readFile(const std::string &fileName) {
+  gchar *content = nullptr;
+  gsize n = 0;
+  GError *error = nullptr;
+  if (!g_file_get_contents(fileName.c_str(), &content, &n, &error)) {
+    Finding finding{fileName, 0, 0, {}, error->message};
+    g_error_free(error);
+    return Findings{std::move(finding)};
+  }
+  const std::unique_ptr<gchar, decltype(&g_free)> owned(content, g_free);
+  return std::string(content, n);
+}
+
+Checked<NodeSettings> readNodeSettings(const std::string &fileName) {
+  auto content = readFile(fileName);
+  if (!content)
+    return std::move(content).error();
+  SettingsReader reader(fileName, content.value());
+  NodeSettings settings;
+  settings.cluster = reader.requireName("cluster");
+  settings.failureDomain = reader.requireName("failureDomain");
+  settings.callers = reader.requireAddress("callers");
+  settings.peers = reader.requireAddress("peers");
+  settings.targets = reader.requireAddress("targets");
+  settings.platform = reader.requireUrl("platform");
+  settings.seeds = reader.optionalAddresses("seeds");
+  settings.key = readKey(reader, fileName);
+  requireDistinctPorts(reader, settings);
+  reader.reportUnknownFields();
+  if (!reader.findings().empty())
+    return reader.findings();
+  return settings;
+}
+
+Checked<OperatorSettings> readOperatorSettings(const std::string &fileName) {
+  auto content = readFile(fileName);
+  if (!content)
+    return std::move(content).error();
+  SettingsReader reader(fileName, content.value());
+  OperatorSettings settings;
+  settings.cluster = reader.requireName("cluster");
+  settings.platform = reader.requireUrl("platform");
+  settings.nodes = reader.optionalAddresses("nodes");
+  settings.key = readKey(reader, fileName);
+  reader.reportUnknownFields();
+  if (!reader.findings().empty())
+    return reader.findings();
+  return settings;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/connection/BulkMessage.h
@@ -0,0 +1,96 @@
+/** \file
+ * What nodes send one another over TCP: memberships and configurations. */
+#ifndef PLANTAINHATCH_CONNECTION_BULKMESSAGE_H
+#define PLANTAINHATCH_CONNECTION_BULKMESSAGE_H
+
+#include "process/ConfigurationKeeper.h"
+#include "process/Membership.h"
+#include "process/Message.h"
+
+#include <cereal/types/array.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace plantainhatch {
+
+/** Asks for the records in buckets that differ. */
+struct SyncRequest {
+  BucketDigests digests{};
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(digests);
+  }
+};
+
+/** Gives records without asking for any. */
+struct SyncPush {
+  std::vector<Member> members;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(members);
+  }
+};
+
+/** Asks for what is newer than the version at hand. */
+struct ConfigurationRequest {
+  std::uint64_t version = 0;
+  std::string digest;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(version, digest);
+  }
+};
+
+/** Answers a SyncRequest. */
+struct SyncReply {
+  BucketDigests digests{};
+  std::vector<Member> members;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(digests, members);
+  }
+};
+
+/** Answers a ConfigurationRequest. */
+struct ConfigurationReply {
+  std::optional<ConfigurationUpdate> update;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(update);
+  }
+};
+
+/** Answers a SyncPush. */
+struct PushReply {
+  template <typename Archive> void serialize(Archive & /*archive*/) {}
+};
+
+using BulkRequestBody =
+    std::variant<SyncRequest, SyncPush, ConfigurationRequest>;
+using BulkReplyBody = std::variant<SyncReply, PushReply, ConfigurationReply>;
+
+/** A request. The nonce comes back in the reply, so that a recorded reply is of
+ * no use. */
+struct BulkRequest {
+  MessageHeader header;
+  std::uint64_t nonce = 0;
+  BulkRequestBody body;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(header, nonce, body);
+  }
+};
+
+/** A reply. */
+struct BulkReply {
+  MessageHeader header;
+  std::uint64_t nonce = 0;
+  BulkReplyBody body;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(header, nonce, body);
+  }
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/connection/Frame.h
@@ -0,0 +1,34 @@
+/** \file
+ * Length-prefixed frames on a stream. */
+#ifndef PLANTAINHATCH_CONNECTION_FRAME_H
+#define PLANTAINHATCH_CONNECTION_FRAME_H
+
+#include "connection/GObjectPtr.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace plantainhatch {
+
+/** A frame that is longer is refused and its connection closed. */
+inline constexpr std::uint32_t MaxFrameBytes = 16 * 1024 * 1024;
+
+/** Called with the frame, or with nothing when the stream has ended or failed.
+ */
+using FrameReader = std::function<void(std::optional<std::string>)>;
+/** Called with whether all was written. */
+using FrameWriter = std::function<void(bool)>;
+
+/** Reads one frame. The stream is kept alive until \p done was called. */
+void readFrame(GInputStream *stream, GCancellable *cancellable,
+               FrameReader done);
+
+/** Writes one frame. The stream is kept alive until \p done was called.
+ * \pre \p payload is not longer than MaxFrameBytes. */
+void writeFrame(GOutputStream *stream, const std::string &payload,
+                GCancellable *cancellable, FrameWriter done);
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/connection/HttpSession.cpp
@@ -0,0 +1,23 @@
+#include "connection/HttpSession.h"
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr int MaxConnections = 4096;
+constexpr int MaxConnectionsPerHost = 512;
+constexpr int IdleSeconds = 30;
+
+} // namespace
+
+GObjectPtr<SoupSession> makeHttpSession() {
+  GObjectPtr<SoupSession> session(soup_session_new_with_options(
+      "max-conns", MaxConnections, "max-conns-per-host", MaxConnectionsPerHost,
+      "timeout", 0U, "idle-timeout", IdleSeconds, "proxy-resolver", nullptr,
+      nullptr));
+  soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
+  soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_AUTH_MANAGER);
+  return session;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/AnnounceTask.h
@@ -0,0 +1,36 @@
+/** \file
+ * Takes the announcements of the target beside this node. */
+#ifndef PLANTAINHATCH_NODE_ANNOUNCETASK_H
+#define PLANTAINHATCH_NODE_ANNOUNCETASK_H
+
+#include "connection/HttpServer.h"
+#include "node/GateTask.h"
+#include "node/NodeServices.h"
+
+#include <memory>
+
+namespace plantainhatch {
+
+/** Owns the targets address. Only processes of this VM are heard. */
+class AnnounceTask {
+public:
+  /** Listens. \return the task, or findings if the address cannot be used. */
+  static Checked<std::unique_ptr<AnnounceTask>> start(NodeServices &services,
+                                                      GateTask &gate);
+
+private:
+  NodeServices &services;
+  GateTask &gate;
+  std::unique_ptr<HttpServer> server;
+
+  AnnounceTask(NodeServices &services, GateTask &gate)
+      : services(services), gate(gate) {}
+
+  void serve(const IncomingCallPtr &call);
+  void announce(const IncomingCallPtr &call);
+  void leave(const IncomingCallPtr &call);
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/ConfigurationTask.cpp
@@ -0,0 +1,251 @@
+#include "node/ConfigurationTask.h"
+
+#include "process/Rendezvous.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr std::chrono::milliseconds FreshnessTick{100};
+constexpr std::chrono::milliseconds FirstBackoff{500};
+constexpr int VersionDigits = 12;
+
+} // namespace
+
+std::string historyRow(std::uint64_t version) {
+  std::ostringstream name;
+  name << "history/" << std::setw(VersionDigits) << std::setfill('0')
+       << version;
+  return name.str();
+}
+
+std::string textObject(const std::string &cluster, const std::string &digest) {
+  return cluster + "-config-" + digest;
+}
+
+ConfigurationTask::ConfigurationTask(NodeServices &services, PeerTask &peers)
+    : services(services), peers(peers) {}
+
+void ConfigurationTask::start() {
+  tickTimer.startRepeating(FreshnessTick, [this] { tick(); });
+  pollTimer.startRepeating(PollInterval, [this] { poll(); });
+  readHead();
+}
+
+void ConfigurationTask::tick() {
+  guard.onTick(NodeServices::now());
+  if (guard.takePause())
+    confirmAfterPause();
+}
+
+void ConfigurationTask::poll() {
+  const ControlScope scope(services.metrics);
+  const TimePoint now = NodeServices::now();
+  if (now < notBefore)
+    return;
+  const bool isReader =
+      isChosen(peers.membership(), "read-head", ReadersPerDomain);
+  if (isReader || peers.membership().isIsolated(now) || keeper.version() == 0)
+    readHead();
+}
+
+void ConfigurationTask::confirmAfterPause() {
+  readHead();
+  if (const auto peer = peers.pickRandomPeer())
+    pull(*peer);
+}
+
+void ConfigurationTask::readHead() {
+  if (isReading)
+    return;
+  isReading = true;
+  const TimePoint askedAt = NodeServices::now();
+  services.platform.readRow(services.table(ConfigurationTable), HeadRow,
+                            [this, askedAt](const RowResult &row) {
+                              const ControlScope scope(services.metrics);
+                              isReading = false;
+                              onHead(row, askedAt);
+                            });
+}
+
+void ConfigurationTask::onHead(const RowResult &row, TimePoint askedAt) {
+  setStoreUp(row.result != StoreResult::Unknown);
+  if (row.result == StoreResult::Unknown) {
+    backoff = std::min<std::chrono::milliseconds>(
+        std::max(FirstBackoff, backoff * 2), MaxBackoff);
+    std::uniform_int_distribution<std::int64_t> jitter(0, backoff.count());
+    notBefore = NodeServices::now() +
+                std::chrono::milliseconds(jitter(services.random));
+    return;
+  }
+  backoff = std::chrono::milliseconds(0);
+  if (row.result == StoreResult::Absent) {
+    guard.onConfirmed(askedAt);
+    if (keeper.version() > 0)
+      repairHead({});
+    return;
+  }
+  const auto head = ConfigurationHead::fromJson(row.row.value);
+  if (!head) {
+    services.record(EventKind::ConfigurationConflict, "head",
+                    "the head row cannot be read", toString(head.error()));
+    return;
+  }
+  if (head.value().version > keeper.version()) {
+    readText(head.value());
+    return;
+  }
+  guard.onConfirmed(askedAt);
+  if (head.value().version < keeper.version())
+    repairHead(row.row.etag);
+  else if (head.value().digest != keeper.current()->head().digest)
+    services.events.count(EventKind::ConfigurationConflict,
+                          std::to_string(keeper.version()),
+                          "the store has another text for this version");
+}
+
+void ConfigurationTask::readText(const ConfigurationHead &head) {
+  const TimePoint askedAt = NodeServices::now();
+  services.platform.readObject(
+      textObject(services.settings.cluster, head.digest),
+      [this, head, askedAt](const ObjectResult &object) {
+        const ControlScope scope(services.metrics);
+        if (object.result != StoreResult::Ok)
+          return;
+        const ConfigurationPtr before = keeper.current();
+        const AdoptResult result = keeper.adopt(head, object.bytes);
+        guard.onConfirmed(askedAt);
+        finishAdoption(result, before, "the store");
+      });
+}
+
+void ConfigurationTask::repairHead(const std::string &storedEtag) {
+  // Only readers do this, and the transaction fails if anyone has moved the
+  // head meanwhile.
+  if (!isChosen(peers.membership(), "read-head", ReadersPerDomain))
+    return;
+  const ConfigurationPtr current = keeper.current();
+  const std::string object =
+      textObject(services.settings.cluster, current->head().digest);
+  services.platform.writeObject(
+      object, current->text(),
+      [this, current, storedEtag](StoreResult written) {
+        if (written != StoreResult::Ok)
+          return;
+        const std::string value = current->head().toJson();
+        Transaction transaction;
+        transaction.checks.push_back(
+            {HeadRow,
+             storedEtag.empty() ? std::nullopt : std::optional(storedEtag)});
+        transaction.puts.emplace_back(HeadRow, value);
+        transaction.puts.emplace_back(historyRow(current->head().version),
+                                      value);
+        services.platform.commit(
+            services.table(ConfigurationTable), transaction,
+            [this, current](const TransactionResult &result) {
+              if (result.result == StoreResult::Ok)
+                services.record(EventKind::ConfigurationRepaired,
+                                std::to_string(current->head().version),
+                                "the store's head was put back to this version",
+                                "the store had an older head");
+            });
+      });
+}
+
+void ConfigurationTask::onVersionHeard(const Address &peer,
+                                       std::uint64_t version) {
+  if (version > keeper.version())
+    pull(peer);
+}
+
+void ConfigurationTask::pull(const Address &peer) {
+  if (isPulling)
+    return;
+  isPulling = true;
+  const TimePoint askedAt = NodeServices::now();
+  peers.request(
+      peer,
+      ConfigurationRequest{keeper.version(), keeper.current()->head().digest},
+      [this, peer, askedAt](const std::optional<BulkReplyBody> &body) {
+        isPulling = false;
+        const auto *const reply =
+            body ? std::get_if<ConfigurationReply>(&*body) : nullptr;
+        if (reply == nullptr)
+          return;
+        guard.onConfirmed(askedAt);
+        if (!reply->update)
+          return;
+        const ConfigurationPtr before = keeper.current();
+        const AdoptResult result = keeper.adopt(*reply->update);
+        finishAdoption(result, before, "node " + peer.toString());
+      });
+}
+
+ConfigurationReply
+ConfigurationTask::answer(const ConfigurationRequest &request) const {
+  return {keeper.updateFor(request.version, request.digest)};
+}
+
+void ConfigurationTask::setStoreUp(bool isUp) {
+  if (isUp == storeUp)
+    return;
+  storeUp = isUp;
+  services.record(isUp ? EventKind::StoreUp : EventKind::StoreDown,
+                  services.settings.platform,
+                  isUp ? "the platform answers again"
+                       : "the platform does not answer",
+                  "read of the head row");
+}
+
+void ConfigurationTask::finishAdoption(AdoptResult result,
+                                       const ConfigurationPtr &before,
+                                       const std::string &source) {
+  if (result == AdoptResult::Invalid || result == AdoptResult::Conflict)
+    services.events.count(
+        EventKind::ConfigurationConflict, std::to_string(keeper.version()),
+        "an offered version is invalid or contradicts this one, from " +
+            source);
+  // Several steps may have been taken before a damaged one.
+  if (keeper.current() == before)
+    return;
+  const ConfigurationHead &head = keeper.current()->head();
+  peers.setVersion(head.version);
+  services.metrics.set("configuration_version",
+                       static_cast<double>(head.version));
+  services.record(EventKind::ConfigurationAdopted, std::to_string(head.version),
+                  head.change,
+                  "asked by " + head.author + ", apply " + head.applyId +
+                      ", from " + source);
+  recordMoves(before);
+  for (const AdoptedListener &listener : listeners)
+    listener(before);
+  peers.spreadNews();
+}
+
+void ConfigurationTask::recordMoves(const ConfigurationPtr &before) {
+  const ConfigurationPtr &after = keeper.current();
+  const std::string version =
+      "version " + std::to_string(after->head().version);
+  for (const auto &[name, rule] : after->domainsOut())
+    if (before->findDomainOut(name) == nullptr)
+      services.record(EventKind::DomainOut, name, "receives no new work",
+                      version + ", asked by " + rule.origin.author);
+  for (const auto &[name, rule] : before->domainsOut())
+    if (after->findDomainOut(name) == nullptr)
+      services.record(EventKind::DomainIn, name, "receives work again",
+                      version + ", asked by " + after->head().author);
+  for (const auto &[address, rule] : after->vmsOut())
+    if (!before->vmsOut().contains(address))
+      services.record(EventKind::VmOut, address, "receives no new work",
+                      version + ", asked by " + rule.origin.author);
+  for (const auto &[address, rule] : before->vmsOut())
+    if (!after->vmsOut().contains(address))
+      services.record(EventKind::VmIn, address, "receives work again",
+                      version + ", asked by " + after->head().author);
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/ConfigurationTask.h
@@ -0,0 +1,92 @@
+/** \file
+ * Keeps this node's configuration at the newest accepted version. */
+#ifndef PLANTAINHATCH_NODE_CONFIGURATIONTASK_H
+#define PLANTAINHATCH_NODE_CONFIGURATIONTASK_H
+
+#include "connection/Timer.h"
+#include "node/NodeServices.h"
+#include "node/PeerTask.h"
+#include "process/ConfigurationKeeper.h"
+#include "process/FreshnessGuard.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace plantainhatch {
+
+/** Reads the head row if this node is a reader of its failure domain or hears
+ * no peer, and pulls from peers that have a newer version. */
+class ConfigurationTask {
+public:
+  static constexpr std::chrono::milliseconds PollInterval{1'000};
+  /** Nodes of each failure domain that read the store, so that reads do not
+   * grow with the fleet. */
+  static constexpr std::size_t ReadersPerDomain = 2;
+  /** The longest a failing store is left alone between two reads. */
+  static constexpr std::chrono::seconds MaxBackoff{8};
+
+  using AdoptedListener = std::function<void(const ConfigurationPtr &before)>;
+
+  ConfigurationTask(NodeServices &services, PeerTask &peers);
+
+  /** Reads the store for the first time, and goes on. */
+  void start();
+
+  /** Calls \p listener after each adoption. */
+  void onAdopted(AdoptedListener listener) {
+    listeners.push_back(std::move(listener));
+  }
+
+  /** A peer has said that it has this version. */
+  void onVersionHeard(const Address &peer, std::uint64_t version);
+  /** What a peer needs. */
+  ConfigurationReply answer(const ConfigurationRequest &request) const;
+
+  const ConfigurationPtr &current() const { return keeper.current(); }
+  const ConfigurationKeeper &configurations() const { return keeper; }
+  /** Pauses of this process, and whether it may trust its configuration. */
+  FreshnessGuard &freshness() { return guard; }
+  bool isStoreUp() const { return storeUp; }
+
+private:
+  NodeServices &services;
+  PeerTask &peers;
+  ConfigurationKeeper keeper;
+  FreshnessGuard guard;
+  std::vector<AdoptedListener> listeners;
+  Timer pollTimer;
+  Timer tickTimer;
+  std::chrono::milliseconds backoff{0};
+  TimePoint notBefore{};
+  bool isReading = false;
+  bool isPulling = false;
+  bool storeUp = true;
+
+  void tick();
+  void poll();
+  void confirmAfterPause();
+  void readHead();
+  void onHead(const RowResult &row, TimePoint askedAt);
+  void readText(const ConfigurationHead &head);
+  void repairHead(const std::string &storedEtag);
+  void pull(const Address &peer);
+  void setStoreUp(bool isUp);
+  void finishAdoption(AdoptResult result, const ConfigurationPtr &before,
+                      const std::string &source);
+  void recordMoves(const ConfigurationPtr &before);
+};
+
+/** Name of the head row. */
+inline constexpr const char *HeadRow = "head";
+/** Name of the table of configurations, without the cluster. */
+inline constexpr const char *ConfigurationTable = "config";
+
+/** The row that keeps one accepted version's head. */
+std::string historyRow(std::uint64_t version);
+/** The object that holds the text with this digest. */
+std::string textObject(const std::string &cluster, const std::string &digest);
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/CrashTask.cpp
@@ -0,0 +1,172 @@
+#include "node/CrashTask.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr std::chrono::seconds ExpiryInterval{30};
+
+std::string toText(std::uint64_t fingerprint) {
+  std::ostringstream text;
+  text << std::hex << fingerprint;
+  return text.str();
+}
+
+} // namespace
+
+CrashTask::CrashTask(NodeServices &services, PeerTask &peers)
+    : services(services), peers(peers) {
+  expiryTimer.startRepeating(
+      ExpiryInterval, [this] { quarantine.expire(NodeServices::now()); });
+}
+
+void CrashTask::onFailure(const Gate &gate, const std::string &bootId,
+                          Verdict verdict) {
+  if (inquiry && inquiry->bootId == bootId) {
+    inquiry->verdicts.push_back(std::move(verdict));
+    return;
+  }
+  if (inquiry) {
+    verdict(false);
+    return;
+  }
+  inquiry = std::make_unique<Inquiry>();
+  inquiry->bootId = bootId;
+  inquiry->service = gate.target().service;
+  inquiry->fingerprints = gate.fingerprintsInFlight();
+  inquiry->verdicts.push_back(std::move(verdict));
+  inquiry->startedAt = NodeServices::now();
+  probeTarget(gate.target().address);
+}
+
+void CrashTask::probeTarget(const Address &address) {
+  GSocketClient *const client = g_socket_client_new();
+  g_socket_client_set_timeout(client, ConnectSeconds);
+  g_socket_client_set_enable_proxy(client, FALSE);
+  g_socket_client_connect_to_host_async(
+      client, address.toString().c_str(), address.port, nullptr,
+      [](GObject *source, GAsyncResult *result, gpointer data) {
+        const std::unique_ptr<std::weak_ptr<CrashTask *>> weak(
+            static_cast<std::weak_ptr<CrashTask *> *>(data));
+        GError *rawError = nullptr;
+        const GObjectPtr<GSocketConnection> connection(
+            g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result,
+                                           &rawError));
+        const GErrorPtr error(rawError);
+        const bool isRefused =
+            error && g_error_matches(error.get(), G_IO_ERROR,
+                                     G_IO_ERROR_CONNECTION_REFUSED);
+        if (const auto self = weak->lock())
+          (*self)->conclude(!isRefused);
+      },
+      new std::weak_ptr<CrashTask *>(alive));
+  g_object_unref(client);
+}
+
+void CrashTask::conclude(bool isConnected) {
+  if (!inquiry)
+    return;
+  auto concluded = std::move(inquiry);
+  if (!isConnected) {
+    report(std::move(concluded));
+    return;
+  }
+  const auto verdicts = std::exchange(concluded->verdicts, {});
+  pardoned = std::move(concluded);
+  for (const Verdict &verdict : verdicts)
+    verdict(false);
+}
+
+void CrashTask::onNewStart(const std::string &oldBootId) {
+  if (inquiry && inquiry->bootId == oldBootId) {
+    conclude(false);
+    return;
+  }
+  if (!pardoned || pardoned->bootId != oldBootId)
+    return;
+  auto crash = std::move(pardoned);
+  if (NodeServices::now() - crash->startedAt < FailureMemory)
+    report(std::move(crash));
+}
+
+void CrashTask::report(std::unique_ptr<Inquiry> crash) {
+  const std::uint64_t sequence = nextSequence++;
+  const CrashReport message{sequence, services.settings.peers, crash->bootId,
+                            crash->fingerprints};
+  absorb(message);
+  auto spread = std::make_unique<Spread>();
+  spread->verdicts = std::move(crash->verdicts);
+  spread->missing = peers.index().candidatesOf(crash->service);
+  spread->missing.erase(services.settings.peers);
+  const std::set<Address> receivers = spread->missing;
+  spread->timer.startOnce(AckLimit,
+                          [this, sequence] { finishSpread(sequence); });
+  const bool isAlone = receivers.empty();
+  spreads[sequence] = std::move(spread);
+  for (const Address &receiver : receivers)
+    peers.sendBare(receiver, message);
+  if (isAlone)
+    finishSpread(sequence);
+}
+
+void CrashTask::absorb(const CrashReport &report) {
+  const auto fingerprints = quarantine.onCrash(
+      {report.target, report.bootId}, report.fingerprints, NodeServices::now());
+  for (const std::uint64_t fingerprint : fingerprints) {
+    services.metrics.add("quarantined_total");
+    services.record(
+        EventKind::RequestQuarantined, toText(fingerprint),
+        "is not handed to targets any more",
+        "in flight at the deaths of " + std::to_string(Quarantine::CrashLimit) +
+            " targets, last of the one at " + report.target.toString());
+  }
+}
+
+void CrashTask::onAnsweredInFull(std::uint64_t fingerprint) {
+  if (!quarantine.clear(fingerprint))
+    return;
+  services.record(EventKind::RequestCleared, toText(fingerprint),
+                  "is not suspected any more", "answered in full");
+  if (!peers.membership().self().target.isServing())
+    return;
+  for (const Address &peer :
+       peers.index().candidatesOf(peers.membership().self().target.service))
+    if (peer != services.settings.peers)
+      peers.sendBare(peer, CrashCleared{fingerprint});
+}
+
+void CrashTask::onMessage(const Message &message) {
+  if (const auto *const crash = std::get_if<CrashReport>(&message.body)) {
+    absorb(*crash);
+    peers.sendBare(message.header.sender, CrashAck{crash->sequence});
+  } else if (const auto *const ack = std::get_if<CrashAck>(&message.body)) {
+    onAck(message.header.sender, ack->sequence);
+  } else if (const auto *const cleared =
+                 std::get_if<CrashCleared>(&message.body)) {
+    quarantine.clear(cleared->fingerprint);
+  }
+}
+
+void CrashTask::onAck(const Address &sender, std::uint64_t sequence) {
+  const auto it = spreads.find(sequence);
+  if (it == spreads.end())
+    return;
+  it->second->missing.erase(sender);
+  if (it->second->missing.empty())
+    finishSpread(sequence);
+}
+
+void CrashTask::finishSpread(std::uint64_t sequence) {
+  const auto it = spreads.find(sequence);
+  if (it == spreads.end())
+    return;
+  const std::unique_ptr<Spread> spread = std::move(it->second);
+  spreads.erase(it);
+  for (const Verdict &verdict : spread->verdicts)
+    verdict(true);
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/CrashTask.h
@@ -0,0 +1,97 @@
+/** \file
+ * Finds requests that crash the targets which run them, and keeps them from
+ * further targets. */
+#ifndef PLANTAINHATCH_NODE_CRASHTASK_H
+#define PLANTAINHATCH_NODE_CRASHTASK_H
+
+#include "connection/Timer.h"
+#include "node/NodeServices.h"
+#include "node/PeerTask.h"
+#include "process/Gate.h"
+#include "process/Quarantine.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace plantainhatch {
+
+/** Owns this node's quarantine. A crash is reported to every node of the
+ * service, and the failure is passed on only after they have acknowledged the
+ * report or a short time has passed, so that a caller who sends the request
+ * again at once meets gates that know of it. */
+class CrashTask {
+public:
+  /** How long a failure is held back for acknowledgements. */
+  static constexpr std::chrono::milliseconds AckLimit{100};
+  /** How long a connection to the target may take before it counts as alive but
+   * slow. */
+  static constexpr unsigned ConnectSeconds = 1;
+  /** A new start of the target this long after a failure shows that the failure
+   * was a crash. */
+  static constexpr std::chrono::seconds FailureMemory{10};
+
+  /** Told whether the target has died. Called once. */
+  using Verdict = std::function<void(bool didTargetDie)>;
+
+  CrashTask(NodeServices &services, PeerTask &peers);
+
+  /** An exchange with the target of \p gate failed after it was sent. \pre The
+   * call that failed is still counted as in flight. */
+  void onFailure(const Gate &gate, const std::string &bootId, Verdict verdict);
+  /** The target beside this node has started anew; \p oldBootId names its
+   * former start. */
+  void onNewStart(const std::string &oldBootId);
+  /** A request was answered in full at this node. */
+  void onAnsweredInFull(std::uint64_t fingerprint);
+  /** Takes in a report or an acknowledgement of another node. */
+  void onMessage(const Message &message);
+
+  bool isQuarantined(std::uint64_t fingerprint) const {
+    return quarantine.isQuarantined(fingerprint, NodeServices::now());
+  }
+  /** For status. */
+  std::vector<Quarantine::Entry> list() const {
+    return quarantine.list(NodeServices::now());
+  }
+
+private:
+  /** One failure that is being looked into. */
+  struct Inquiry {
+    std::string bootId;
+    std::string service;
+    std::vector<std::uint64_t> fingerprints;
+    std::vector<Verdict> verdicts;
+    TimePoint startedAt;
+  };
+  /** One report that is being spread. */
+  struct Spread {
+    std::set<Address> missing;
+    std::vector<Verdict> verdicts;
+    Timer timer;
+  };
+
+  NodeServices &services;
+  PeerTask &peers;
+  Quarantine quarantine;
+  std::unique_ptr<Inquiry> inquiry;
+  /** The newest failure that was not found to be a crash. */
+  std::unique_ptr<Inquiry> pardoned;
+  std::map<std::uint64_t, std::unique_ptr<Spread>> spreads;
+  std::uint64_t nextSequence = 1;
+  Timer expiryTimer;
+  std::shared_ptr<CrashTask *> alive = std::make_shared<CrashTask *>(this);
+
+  void probeTarget(const Address &address);
+  void conclude(bool isConnected);
+  void report(std::unique_ptr<Inquiry> crash);
+  void absorb(const CrashReport &report);
+  void onAck(const Address &sender, std::uint64_t sequence);
+  void finishSpread(std::uint64_t sequence);
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/ForwardedCall.cpp
@@ -0,0 +1,173 @@
+#include "node/ForwardedCall.h"
+
+#include "connection/AnswerRelay.h"
+#include "request/ForwardProof.h"
+#include "request/HeaderNames.h"
+
+#include <charconv>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Forbidden = 403;
+constexpr unsigned ServiceUnavailable = 503;
+/** The ingress bounds the pauses of an answer by its rule; this only ends what
+ * it has left. */
+constexpr std::chrono::minutes IdleLimit{60};
+
+std::string headerOf(const CallRequest &request, const char *name) {
+  return findHeader(request.headers, name).value_or("");
+}
+
+std::optional<std::chrono::milliseconds> parseTimeout(const std::string &text) {
+  std::int64_t ms = 0;
+  const char *const end = text.data() + text.size();
+  auto [it, ec] = std::from_chars(text.data(), end, ms);
+  if (ec != std::errc() || it != end || ms <= 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(ms);
+}
+
+std::string formatLoad(const LoadReport &load) {
+  return std::to_string(load.inFlight) + " " + std::to_string(load.limit) +
+         " " + std::to_string(load.latencyUs);
+}
+
+/** One forwarded call. Held by the callbacks of its hand-over. */
+class ForwardedCall
+    : public boost::intrusive_ref_counter<ForwardedCall,
+                                          boost::thread_unsafe_counter> {
+public:
+  ForwardedCall(NodeServices &services, GateTask &gate,
+                IncomingCallPtr incoming, std::function<void()> onDone)
+      : services(services), gate(gate), incoming(std::move(incoming)),
+        onDone(std::move(onDone)) {}
+
+  void start() {
+    const CallRequest &original = incoming->request();
+    const auto timeout = parseTimeout(headerOf(original, headers::TimeoutMs));
+    if (!timeout || !isProved()) {
+      services.metrics.add("forward_rejected_total");
+      refuse(Forbidden, "proof");
+      return;
+    }
+    HandOver handOver;
+    handOver.request = makeRequest();
+    handOver.service = headerOf(original, headers::Service);
+    handOver.fingerprint = fingerprintOf(*handOver.request, handOver.service);
+    handOver.deadline = NodeServices::now() + *timeout;
+    handOver.mayQueue = headerOf(original, headers::MayQueue) == "1";
+    handOver.isClaimed = headerOf(original, headers::Claimed) == "1";
+    const boost::intrusive_ptr<ForwardedCall> self(this);
+    const GateCallPtr call =
+        gate.handOver(std::move(handOver), [self](HandOverResult result) {
+          self->onResult(std::move(result));
+        });
+    if (!isAnswered)
+      incoming->onGone([self, call] {
+        call->cancel();
+        self->finish();
+      });
+  }
+
+private:
+  NodeServices &services;
+  GateTask &gate;
+  IncomingCallPtr incoming;
+  std::function<void()> onDone;
+  bool isAnswered = false;
+
+  bool isProved() {
+    const CallRequest &request = incoming->request();
+    const auto time = HybridTime::parse(headerOf(request, headers::Time));
+    if (!time)
+      return false;
+    const ForwardClaims claims{headerOf(request, headers::Service), *time,
+                               headerOf(request, headers::TimeoutMs),
+                               services.settings.callers.toString()};
+    CallRequest proved = request;
+    proved.id = headerOf(request, headers::RequestId);
+    if (!isForwardProofValid(services.settings.key, proved, claims,
+                             headerOf(request, headers::Proof),
+                             NodeServices::wallNow()))
+      return false;
+    services.observe(*time);
+    return true;
+  }
+
+  std::shared_ptr<const CallRequest> makeRequest() const {
+    auto request = std::make_shared<CallRequest>(incoming->request());
+    request->id = headerOf(*request, headers::RequestId);
+    removeHopHeaders(request->headers);
+    removeHeader(request->headers, headers::RequestId);
+    removeHeader(request->headers, headers::TimeoutMs);
+    return request;
+  }
+
+  HeaderList nodeHeaders() {
+    return {{headers::Load, formatLoad(gate.load())},
+            {headers::Time, services.stamp().toString()},
+            {headers::RequestId,
+             headerOf(incoming->request(), headers::RequestId)}};
+  }
+
+  void onResult(HandOverResult result) {
+    isAnswered = true;
+    if (auto *const answer = std::get_if<HandedAnswer>(&result))
+      relay(std::move(*answer));
+    else if (const auto *const refused = std::get_if<HandRefused>(&result))
+      refuse(ServiceUnavailable, std::string(toString(refused->refusal)));
+    else
+      fail(std::get<HandFailed>(result).reason);
+  }
+
+  void relay(HandedAnswer answer) {
+    removeHeader(answer.head.headers, headers::RequestId);
+    for (auto &header : nodeHeaders())
+      answer.head.headers.push_back(std::move(header));
+    const boost::intrusive_ptr<ForwardedCall> self(this);
+    AnswerRelay::start(
+        incoming, answer.head, answer.source, IdleLimit,
+        [self](RelayResult /*result*/) { self->finish(); }, nullptr);
+  }
+
+  void refuse(unsigned status, const std::string &reason) {
+    isAnswered = true;
+    HeaderList list = nodeHeaders();
+    list.emplace_back(headers::Outcome, toString(Outcome::NotRun));
+    list.emplace_back(headers::Reason, reason);
+    incoming->reply(status, list, reason + "\n");
+    finish();
+  }
+
+  void fail(const std::string &reason) {
+    HeaderList list = nodeHeaders();
+    list.emplace_back(headers::Outcome, toString(Outcome::Unknown));
+    list.emplace_back(headers::Reason, reason);
+    incoming->reply(BadGateway, list, reason + "\n");
+    finish();
+  }
+
+  void finish() {
+    if (const auto action = std::exchange(onDone, nullptr))
+      action();
+  }
+};
+
+} // namespace
+
+bool isForwarded(const CallRequest &request) {
+  return findHeader(request.headers, headers::Proof).has_value();
+}
+
+void serveForwardedCall(NodeServices &services, GateTask &gate,
+                        const IncomingCallPtr &incoming,
+                        std::function<void()> onDone) {
+  const boost::intrusive_ptr<ForwardedCall> call(
+      new ForwardedCall(services, gate, incoming, std::move(onDone)));
+  call->start();
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/GateCall.cpp
@@ -0,0 +1,156 @@
+#include "node/GateCall.h"
+
+#include "node/GateTask.h"
+#include "request/HeaderNames.h"
+
+#include <algorithm>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr unsigned ServiceUnavailable = 503;
+
+bool isShed(const AnswerHead &head) {
+  return head.status == ServiceUnavailable &&
+         findHeader(head.headers, headers::Outcome) ==
+             std::string(toString(Outcome::NotRun));
+}
+
+} // namespace
+
+GateCall::GateCall(GateTask &gateTask, CallId id, HandOver handOver,
+                   Receiver receiver)
+    : task(gateTask), callId(id), handOver(std::move(handOver)),
+      receiver(std::move(receiver)) {}
+
+GateCall::~GateCall() {
+  if (state != State::Sent && state != State::Answered)
+    return;
+  exchange->cancel();
+  task.finish(callId, GateOutcome::Cancelled);
+}
+
+void GateCall::start() {
+  state = State::Sent;
+  bootId = task.gate.target().bootId;
+  const GateCallPtr self(this);
+  deadlineTimer.startOnce(handOver.deadline - NodeServices::now(),
+                          [self] { self->onDeadline(); });
+  exchange = Exchange::start(
+      task.services.session.get(), *handOver.request,
+      {task.gate.target().address, extraHeaders(), handOver.isClaimed},
+      [self](Exchange::Result result) { self->onHead(std::move(result)); });
+}
+
+void GateCall::refuse(Refusal refusal) {
+  state = State::Ended;
+  deadlineTimer.stop();
+  deliver(HandRefused{refusal});
+}
+
+void GateCall::read(ChunkReceiver chunkReceiver) {
+  const GateCallPtr self(this);
+  exchange->read([self, chunkReceiver = std::move(chunkReceiver)](Chunk chunk) {
+    if (std::holds_alternative<BodyEnd>(chunk)) {
+      self->task.crashes.onAnsweredInFull(self->handOver.fingerprint);
+      self->end(GateOutcome::Completed);
+    } else if (std::holds_alternative<BodyBroken>(chunk)) {
+      self->task.crashes.onFailure(self->task.gate, self->bootId,
+                                   [](bool /*didTargetDie*/) {});
+      self->end(GateOutcome::Failed);
+    }
+    chunkReceiver(std::move(chunk));
+  });
+}
+
+void GateCall::cancel() {
+  const GateCallPtr self(this);
+  receiver = nullptr;
+  if (state == State::Waiting) {
+    state = State::Ended;
+    deadlineTimer.stop();
+    task.gate.abandon(callId);
+    unlink();
+    return;
+  }
+  if (state == State::Ended)
+    return;
+  exchange->cancel();
+  end(GateOutcome::Cancelled);
+}
+
+void GateCall::onDeadline() {
+  if (state != State::Sent)
+    return;
+  exchange->cancel();
+  end(GateOutcome::TimedOut);
+  deliver(HandFailed{false, "deadline"});
+}
+
+void GateCall::onHead(Exchange::Result result) {
+  if (state != State::Sent)
+    return;
+  deadlineTimer.stop();
+  if (auto *const head = std::get_if<AnswerHead>(&result))
+    onAnswer(std::move(*head));
+  else
+    onError(std::get<ExchangeError>(result));
+}
+
+void GateCall::onAnswer(AnswerHead head) {
+  if (isShed(head)) {
+    onShed();
+    return;
+  }
+  state = State::Answered;
+  task.gate.answered(callId, NodeServices::now());
+  removeHopHeaders(head.headers);
+  deliver(HandedAnswer{std::move(head), this});
+}
+
+void GateCall::onShed() {
+  exchange->cancel();
+  end(GateOutcome::Shed);
+  deliver(HandRefused{Refusal::TargetShed});
+}
+
+void GateCall::onError(const ExchangeError &error) {
+  if (error.isProvablyUnsent) {
+    end(GateOutcome::NotConnected);
+    task.loseTarget(error.message);
+    deliver(HandRefused{Refusal::NotConnected});
+    return;
+  }
+  // The call must still be counted as in flight when the crash is looked into.
+  const GateCallPtr self(this);
+  task.crashes.onFailure(
+      task.gate, bootId, [self, reason = error.message](bool didTargetDie) {
+        self->deliver(
+            HandFailed{didTargetDie, didTargetDie ? "target-died" : reason});
+      });
+  end(GateOutcome::Failed);
+}
+
+void GateCall::end(GateOutcome outcome) {
+  if (state == State::Ended)
+    return;
+  state = State::Ended;
+  deadlineTimer.stop();
+  task.finish(callId, outcome);
+}
+
+void GateCall::deliver(HandOverResult result) {
+  if (const Receiver action = std::exchange(receiver, nullptr))
+    action(std::move(result));
+}
+
+HeaderList GateCall::extraHeaders() const {
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      handOver.deadline - NodeServices::now());
+  return {{headers::RequestId, handOver.request->id},
+          {headers::TimeoutMs,
+           std::to_string(std::max<std::int64_t>(1, left.count()))}};
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/GateCall.h
@@ -0,0 +1,110 @@
+/** \file
+ * One call at the gate: its wait, its exchange with the target, its end. */
+#ifndef PLANTAINHATCH_NODE_GATECALL_H
+#define PLANTAINHATCH_NODE_GATECALL_H
+
+#include "connection/Exchange.h"
+#include "connection/Timer.h"
+#include "process/Gate.h"
+
+#include <boost/intrusive/list_hook.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace plantainhatch {
+
+class GateTask;
+
+/** A call that is to be handed to the target. */
+struct HandOver {
+  /** Shared, as several attempts may be under way at once. */
+  std::shared_ptr<const CallRequest> request;
+  std::string service;
+  std::uint64_t fingerprint = 0;
+  TimePoint deadline;
+  bool mayQueue = false;
+  /** The call is recorded as a claim and goes out on a fresh connection. */
+  bool isClaimed = false;
+};
+
+/** The target answers. */
+struct HandedAnswer {
+  AnswerHead head;
+  AnswerSourcePtr source;
+};
+
+/** The call was provably not run. */
+struct HandRefused {
+  Refusal refusal = Refusal::None;
+};
+
+/** Whether the call was run is not known. */
+struct HandFailed {
+  bool didTargetDie = false;
+  std::string reason;
+};
+
+/** What became of a hand-over. */
+using HandOverResult = std::variant<HandedAnswer, HandRefused, HandFailed>;
+
+/** Holds one slot of the gate from admission until the answer has been read to
+ * its end, has broken off, or was cancelled. Used on the main loop only. */
+class GateCall
+    : public AnswerSource,
+      public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+public:
+  /** Called once. */
+  using Receiver = std::function<void(HandOverResult)>;
+
+  GateCall(GateTask &gateTask, CallId id, HandOver handOver, Receiver receiver);
+  ~GateCall() override;
+  GateCall(const GateCall &) = delete;
+  GateCall &operator=(const GateCall &) = delete;
+  GateCall(GateCall &&) = delete;
+  GateCall &operator=(GateCall &&) = delete;
+
+  /** Sends the call to the target. \pre The gate has admitted it. */
+  void start();
+  /** Ends the call, which the gate has not admitted. */
+  void refuse(Refusal refusal);
+
+  /** Reads the target's answer. */
+  void read(ChunkReceiver receiver) override;
+  /** Gives up, in any state: the target sees its connection close, and the slot
+   * is free. */
+  void cancel() override;
+
+  CallId id() const { return callId; }
+
+private:
+  enum class State : std::uint8_t { Waiting, Sent, Answered, Ended };
+
+  GateTask &task;
+  CallId callId;
+  HandOver handOver;
+  Receiver receiver;
+  State state = State::Waiting;
+  std::string bootId;
+  boost::intrusive_ptr<Exchange> exchange;
+  Timer deadlineTimer;
+
+  void onDeadline();
+  void onHead(Exchange::Result result);
+  void onAnswer(AnswerHead head);
+  void onShed();
+  void onError(const ExchangeError &error);
+  void end(GateOutcome outcome);
+  void deliver(HandOverResult result);
+  HeaderList extraHeaders() const;
+};
+
+/** A shared call. */
+using GateCallPtr = boost::intrusive_ptr<GateCall>;
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/GateTask.cpp
@@ -0,0 +1,173 @@
+#include "node/GateTask.h"
+
+#include <algorithm>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickInterval{20};
+
+} // namespace
+
+GateTask::GateTask(NodeServices &services, PeerTask &peers,
+                   ConfigurationTask &configuration, CrashTask &crashes)
+    : services(services), peers(peers), configuration(configuration),
+      crashes(crashes) {
+  tickTimer.startRepeating(TickInterval, [this] { tick(); });
+  configuration.onAdopted(
+      [this](const ConfigurationPtr & /*before*/) { updateClosure(); });
+}
+
+GateCallPtr GateTask::handOver(HandOver request, GateCall::Receiver receiver) {
+  updateClosure();
+  const TimePoint now = NodeServices::now();
+  const GateRequest asked{nextId++, request.service, request.fingerprint,
+                          request.deadline, request.mayQueue};
+  const bool isQuarantined = crashes.isQuarantined(request.fingerprint);
+  GateCallPtr call(
+      new GateCall(*this, asked.id, std::move(request), std::move(receiver)));
+  if (isQuarantined) {
+    call->refuse(Refusal::Quarantined);
+    return call;
+  }
+  const Admission admission = gate.admit(asked, now);
+  switch (admission.kind) {
+  case Admission::Kind::Admitted:
+    call->start();
+    break;
+  case Admission::Kind::Queued:
+    waiting.push_back(*call);
+    break;
+  case Admission::Kind::Refused:
+    services.metrics.add("gate_refused_total",
+                         "reason=\"" +
+                             std::string(toString(admission.refusal)) + "\"");
+    services.events.count(EventKind::CallsRefused, asked.service,
+                          std::string(toString(admission.refusal)));
+    call->refuse(admission.refusal);
+    break;
+  }
+  return call;
+}
+
+void GateTask::announce(const Target &target) {
+  const std::string oldBoot = gate.target().bootId;
+  const bool isNewStart = gate.announce(target);
+  announcedAt = NodeServices::now();
+  if (isNewStart) {
+    crashes.onNewStart(oldBoot);
+    services.record(EventKind::TargetAnnounced, target.address.toString(),
+                    "serves " + target.service + " with " +
+                        std::to_string(target.slots) + " slots, " +
+                        std::to_string(target.coldSlots) + " while cold",
+                    "start " + target.bootId);
+  }
+  publishTarget();
+}
+
+bool GateTask::leave(const std::string &bootId) {
+  if (!gate.leave(bootId))
+    return false;
+  services.record(EventKind::TargetLeaving, gate.target().address.toString(),
+                  "receives no new work", "the target said that it leaves");
+  settle(gate.expire(NodeServices::now()));
+  publishTarget();
+  return true;
+}
+
+void GateTask::stop() {
+  isStopping = true;
+  updateClosure();
+}
+
+LoadReport GateTask::load() const {
+  const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(
+      gate.expectedLatency(NodeServices::now()));
+  LoadReport report;
+  report.inFlight = static_cast<std::uint16_t>(gate.inFlight() + gate.queued());
+  report.limit = static_cast<std::uint16_t>(gate.limit());
+  report.latencyUs = static_cast<std::uint32_t>(std::min<std::int64_t>(
+      latency.count(), std::numeric_limits<std::uint32_t>::max()));
+  return report;
+}
+
+void GateTask::tick() {
+  updateClosure();
+  expireTarget();
+  settle(gate.expire(NodeServices::now()));
+}
+
+void GateTask::updateClosure() { gate.closeFor(reasonToClose()); }
+
+Refusal GateTask::reasonToClose() const {
+  if (isStopping)
+    return Refusal::NodeStopping;
+  if (configuration.freshness().isStale(NodeServices::now()))
+    return Refusal::Stale;
+  const NodeSettings &settings = services.settings;
+  const Configuration &current = *configuration.current();
+  if (current.findDomainOut(settings.failureDomain) != nullptr)
+    return Refusal::DomainOut;
+  const auto isOut = [&](const Address &address) {
+    return current.findVmOut(address) != nullptr;
+  };
+  const bool isVmOut = isOut(settings.callers) || isOut(settings.peers) ||
+                       isOut(settings.targets) || isOut(gate.target().address);
+  return isVmOut ? Refusal::VmOut : Refusal::None;
+}
+
+void GateTask::expireTarget() {
+  const bool isLate = NodeServices::now() - announcedAt > AnnounceLifetime;
+  if (isLate && gate.target().state != TargetState::Absent)
+    loseTarget("no announcement for longer than its lifetime");
+}
+
+void GateTask::loseTarget(const std::string &why) {
+  if (gate.target().state == TargetState::Absent)
+    return;
+  gate.lose();
+  services.record(EventKind::TargetLost, gate.target().address.toString(),
+                  "receives no work until it announces itself", why);
+  recordCut();
+  publishTarget();
+}
+
+void GateTask::publishTarget() { peers.setTarget(gate.target()); }
+
+void GateTask::recordCut() {
+  const LimitCut cut = gate.takeCut();
+  if (cut != LimitCut::None)
+    services.record(EventKind::LimitCut, gate.target().address.toString(),
+                    "limit is " + std::to_string(gate.limit()), toString(cut));
+}
+
+void GateTask::settle(const std::vector<QueueResult> &results) {
+  for (const QueueResult &result : results) {
+    GateCall *const found = findWaiting(result.id);
+    if (found == nullptr)
+      continue;
+    const GateCallPtr call(found);
+    call->unlink();
+    if (result.refusal == Refusal::None)
+      call->start();
+    else
+      call->refuse(result.refusal);
+  }
+}
+
+GateCall *GateTask::findWaiting(CallId id) {
+  const auto it = std::ranges::find(waiting, id, &GateCall::id);
+  return it == waiting.end() ? nullptr : &*it;
+}
+
+void GateTask::finish(CallId id, GateOutcome outcome) {
+  const TargetState before = gate.target().state;
+  const auto results = gate.finish(id, outcome, NodeServices::now());
+  recordCut();
+  if (gate.target().state != before)
+    publishTarget();
+  settle(results);
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/GateTask.h
@@ -0,0 +1,81 @@
+/** \file
+ * Hands calls to the target beside this node. */
+#ifndef PLANTAINHATCH_NODE_GATETASK_H
+#define PLANTAINHATCH_NODE_GATETASK_H
+
+#include "connection/Timer.h"
+#include "node/ConfigurationTask.h"
+#include "node/CrashTask.h"
+#include "node/GateCall.h"
+#include "node/NodeServices.h"
+#include "node/PeerTask.h"
+#include "process/Gate.h"
+
+#include <boost/intrusive/list.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace plantainhatch {
+
+/** Owns the gate and every exchange with the target. */
+class GateTask {
+public:
+  /** A target that has not announced itself for this long is taken to be gone.
+   */
+  static constexpr std::chrono::milliseconds AnnounceLifetime{3'000};
+  /** What targets are told to renew within. */
+  static constexpr std::chrono::milliseconds RenewWithin{1'000};
+
+  GateTask(NodeServices &services, PeerTask &peers,
+           ConfigurationTask &configuration, CrashTask &crashes);
+
+  /** Hands a call to the target, now or after a wait, or refuses it. \p
+   * receiver is called once, unless the call is cancelled before. */
+  GateCallPtr handOver(HandOver request, GateCall::Receiver receiver);
+
+  /** The target has announced itself. */
+  void announce(const Target &target);
+  /** The target leaves. \return false if another start of it is meant. */
+  bool leave(const std::string &bootId);
+  /** No new work from now on, as this node stops. */
+  void stop();
+
+  /** The load for reports to other nodes. */
+  LoadReport load() const;
+  const Gate &state() const { return gate; }
+
+private:
+  friend class GateCall;
+  using CallList =
+      boost::intrusive::list<GateCall,
+                             boost::intrusive::constant_time_size<false>>;
+
+  NodeServices &services;
+  PeerTask &peers;
+  ConfigurationTask &configuration;
+  CrashTask &crashes;
+  Gate gate;
+  /** Calls that wait for admission. */
+  CallList waiting;
+  CallId nextId = 1;
+  bool isStopping = false;
+  TimePoint announcedAt{};
+  Timer tickTimer;
+
+  void tick();
+  void updateClosure();
+  Refusal reasonToClose() const;
+  void expireTarget();
+  void loseTarget(const std::string &why);
+  void publishTarget();
+  void recordCut();
+  void settle(const std::vector<QueueResult> &results);
+  GateCall *findWaiting(CallId id);
+  void finish(CallId id, GateOutcome outcome);
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/IngressCall.cpp
@@ -0,0 +1,363 @@
+#include "node/IngressCall.h"
+
+#include "node/PrefixedSource.h"
+#include "node/RemoteHandOver.h"
+#include "request/HeaderNames.h"
+
+#include <algorithm>
+
+namespace plantainhatch {
+
+namespace {
+
+using CallPtr = boost::intrusive_ptr<IngressCall>;
+
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+constexpr std::chrono::milliseconds LeastHedgeDelay{2};
+
+} // namespace
+
+void IngressCall::start(IngressTask &task, const IncomingCallPtr &incoming,
+                        std::function<void()> onDone) {
+  const CallPtr call(new IngressCall(task, incoming, std::move(onDone)));
+  call->begin();
+}
+
+IngressCall::IngressCall(IngressTask &task, IncomingCallPtr incomingCall,
+                         std::function<void()> onDone)
+    : task(task), incoming(std::move(incomingCall)), onDone(std::move(onDone)),
+      configuration(task.configuration.current()),
+      arrivedAt(NodeServices::now()) {}
+
+void IngressCall::begin() {
+  request = makeRequest();
+  rule = configuration->findService(request->path());
+  if (rule == nullptr) {
+    reject(NotFound, "no-rule");
+    return;
+  }
+  const auto timeout = timeoutOf(incoming->request(), *rule);
+  if (!timeout) {
+    reject(BadRequest, "timeout-not-a-positive-number");
+    return;
+  }
+  deadline = arrivedAt + *timeout;
+  fingerprint = fingerprintOf(*request, rule->name);
+  decision = std::make_unique<CallDecision>(
+      isIdempotent(*request, *rule), deadline, task.stateOf(rule->name).budget);
+  if (task.crashes.isQuarantined(fingerprint)) {
+    answerSelf({503, Outcome::NotRun,
+                std::string(toString(Refusal::Quarantined)),
+                CallDecision::RetryAfter});
+    return;
+  }
+  const CallPtr self(this);
+  deadlineTimer.startOnce(*timeout, [self] { self->onDeadline(); });
+  incoming->onGone([self] { self->onCallerGone(); });
+  if (!rule->needsClaim() || isSafeMethod(request->method)) {
+    perform(decision->start());
+    return;
+  }
+  const auto key = findHeader(request->headers, rule->keyHeader);
+  if (!key || key->empty()) {
+    reject(BadRequest, "missing-" + rule->keyHeader);
+    return;
+  }
+  beginClaim(*key);
+}
+
+std::shared_ptr<const CallRequest> IngressCall::makeRequest() const {
+  auto cleaned = std::make_shared<CallRequest>(incoming->request());
+  cleaned->id = findHeader(cleaned->headers, headers::RequestId).value_or("");
+  if (cleaned->id.empty())
+    cleaned->id = task.services.makeId();
+  removeHopHeaders(cleaned->headers);
+  removeHeader(cleaned->headers, headers::RequestId);
+  removeHeader(cleaned->headers, headers::TimeoutMs);
+  removeHeader(cleaned->headers, headers::Outcome);
+  removeHeader(cleaned->headers, "Expect");
+  return cleaned;
+}
+
+void IngressCall::beginClaim(const std::string &key) {
+  const CallPtr self(this);
+  const WallTime wallDeadline =
+      NodeServices::wallNow() +
+      std::chrono::duration_cast<std::chrono::milliseconds>(deadline -
+                                                            arrivedAt);
+  claim = Claim::start(task.services, claimKey(rule->name, key), *request,
+                       wallDeadline, [self](Claim::Verdict verdict) {
+                         self->onClaimVerdict(std::move(verdict));
+                       });
+}
+
+void IngressCall::onClaimVerdict(Claim::Verdict verdict) {
+  if (std::holds_alternative<ProceedAction>(verdict)) {
+    isClaimHeld = true;
+    if (isEnded)
+      settleClaim(Outcome::NotRun);
+    else
+      perform(decision->start());
+    return;
+  }
+  if (isEnded)
+    return;
+  if (const auto *const stored = std::get_if<ReplayAction>(&verdict))
+    replay(stored->answer);
+  else
+    answerSelf(std::get<AnswerAction>(verdict));
+}
+
+void IngressCall::onCallerGone() {
+  isCallerGone = true;
+  task.services.metrics.add("calls_abandoned_total");
+  // A claimed call that was handed over runs to its end, so that the caller who
+  // sends it again gets its answer and not the news that nothing is known.
+  if (isClaimHeld && !attempts.empty())
+    return;
+  const bool mayHaveRun = decision->mayHaveRun();
+  cancelAttempts();
+  settleClaim(mayHaveRun ? Outcome::Unknown : Outcome::NotRun);
+  end();
+}
+
+void IngressCall::onDeadline() {
+  if (isEnded)
+    return;
+  if (claim && !isClaimHeld) {
+    // The row may be there already, whatever becomes of it; nothing was handed
+    // over.
+    answerSelf({504, Outcome::Unknown, "deadline", std::nullopt});
+    return;
+  }
+  perform(decision->onDeadline());
+}
+
+void IngressCall::perform(CallAction action) {
+  if (isEnded)
+    return;
+  if (const auto *const next = std::get_if<ForwardAction>(&action))
+    forward(next->mayQueue);
+  else if (const auto *const answer = std::get_if<AnswerAction>(&action))
+    answerSelf(*answer);
+}
+
+void IngressCall::forward(bool mayQueue) {
+  const auto choice = task.pick(*configuration, rule->name, decision->tried());
+  if (!choice) {
+    perform(decision->onNoChoice());
+    return;
+  }
+  decision->onForwarded(choice->peers);
+  task.measure.loads().onSent(choice->peers, NodeServices::now());
+  task.services.metrics.add("attempts_total");
+  attempts[choice->peers] = nullptr;
+  const AnswerSourcePtr source = handOver(*choice, mayQueue);
+  // A refusal of the local gate has come in already.
+  const auto it = attempts.find(choice->peers);
+  if (it != attempts.end())
+    it->second = source;
+  if (!isEnded)
+    startHedgeTimer();
+}
+
+AnswerSourcePtr IngressCall::handOver(const Choice &choice, bool mayQueue) {
+  HandOver order{request,  rule->name, fingerprint,
+                 deadline, mayQueue,   isClaimHeld};
+  const CallPtr self(this);
+  auto receiver = [self, target = choice.peers](HandOverResult result) {
+    self->onResult(target, std::move(result));
+  };
+  if (choice.isLocalNode)
+    return task.gate.handOver(std::move(order), std::move(receiver));
+  return RemoteHandOver::start(task.services, task.measure, choice, order,
+                               configuration->head().version,
+                               std::move(receiver));
+}
+
+void IngressCall::onResult(const Address &target, HandOverResult result) {
+  if (isEnded)
+    return;
+  if (auto *const answer = std::get_if<HandedAnswer>(&result)) {
+    takeAnswer(target, std::move(*answer));
+    return;
+  }
+  attempts.erase(target);
+  const TimePoint now = NodeServices::now();
+  if (const auto *const refused = std::get_if<HandRefused>(&result)) {
+    const bool isUnreachable = refused->refusal == Refusal::NotConnected;
+    task.measure.loads().onEnded(target, isUnreachable, now);
+    perform(decision->onRefused(target, refused->refusal, now));
+    return;
+  }
+  const auto &failed = std::get<HandFailed>(result);
+  task.measure.loads().onEnded(target, true, now);
+  task.services.events.count(EventKind::CallsFailed, rule->name,
+                             "at " + target.toString() + ": " + failed.reason);
+  perform(decision->onFailed(target, failed.didTargetDie, now));
+}
+
+void IngressCall::startHedgeTimer() {
+  if (hedgeTimer.isRunning() || !isIdempotent(*request, *rule))
+    return;
+  const auto p95 = task.stateOf(rule->name).latencies.p95();
+  if (!p95)
+    return;
+  const CallPtr self(this);
+  hedgeTimer.startOnce(std::max<Duration>(*p95, LeastHedgeDelay), [self] {
+    self->perform(self->decision->onHedge(NodeServices::now()));
+  });
+}
+
+void IngressCall::takeAnswer(const Address &target, HandedAnswer answer) {
+  task.stateOf(rule->name).latencies.record(NodeServices::now() - arrivedAt);
+  attempts.erase(target);
+  cancelAttempts();
+  deadlineTimer.stop();
+  hedgeTimer.stop();
+  removeHeader(answer.head.headers, headers::RequestId);
+  answer.head.headers.emplace_back(headers::RequestId, request->id);
+  // Held until the end, so that the load of the target counts this call.
+  attempts[target] = answer.source;
+  if (isClaimHeld)
+    collect(target, answer.head, answer.source);
+  else
+    relay(target, std::move(answer.head), answer.source);
+}
+
+void IngressCall::collect(const Address &target, const AnswerHead &head,
+                          const AnswerSourcePtr &source) {
+  const CallPtr self(this);
+  deadlineTimer.startOnce(rule->timeout, [self, target, source] {
+    source->cancel();
+    self->attempts.erase(target);
+    self->answerSelf({504, Outcome::Unknown, "answer-stalled", std::nullopt});
+  });
+  source->read([self, target, head, source](Chunk chunk) {
+    self->onCollected(target, head, source, std::move(chunk));
+  });
+}
+
+void IngressCall::onCollected(const Address &target, const AnswerHead &head,
+                              const AnswerSourcePtr &source, Chunk chunk) {
+  deadlineTimer.stop();
+  const TimePoint now = NodeServices::now();
+  if (const auto *const bytes = std::get_if<GBytesPtr>(&chunk)) {
+    collected += toString(bytes->get());
+    if (collected.size() <= Claim::MaxAnswerBytes) {
+      collect(target, head, source);
+      return;
+    }
+    claim->finish(ClaimState::Done,
+                  {head.status, head.headers, collected, false});
+    isClaimHeld = false;
+    if (isCallerGone) {
+      drain(source);
+      end();
+      return;
+    }
+    relay(target, head,
+          new PrefixedSource(std::exchange(collected, {}), source));
+    return;
+  }
+  attempts.erase(target);
+  const bool isBroken =
+      std::holds_alternative<BodyBroken>(chunk) ||
+      (head.contentLength && *head.contentLength != collected.size() &&
+       request->method != "HEAD");
+  task.measure.loads().onEnded(target, isBroken, now);
+  if (isBroken) {
+    answerSelf({502, Outcome::Unknown, "answer-broken", std::nullopt});
+    return;
+  }
+  claim->finish(ClaimState::Done, {head.status, head.headers, collected, true});
+  isClaimHeld = false;
+  if (!isCallerGone)
+    incoming->reply(head.status, head.headers, collected);
+  end();
+}
+
+void IngressCall::relay(const Address &target, AnswerHead head,
+                        const AnswerSourcePtr &source) {
+  const CallPtr self(this);
+  AnswerRelay::start(
+      incoming, head, source, rule->timeout,
+      [self, target](RelayResult result) {
+        self->task.measure.loads().onEnded(
+            target, result == RelayResult::Broken, NodeServices::now());
+        if (result == RelayResult::Broken)
+          self->task.services.metrics.add("answers_broken_total");
+        self->attempts.erase(target);
+        self->end();
+      },
+      nullptr);
+}
+
+void IngressCall::answerSelf(const AnswerAction &answer) {
+  if (isEnded)
+    return;
+  cancelAttempts();
+  settleClaim(answer.outcome);
+  task.services.metrics.add("answers_made_total",
+                            "status=\"" + std::to_string(answer.status) +
+                                "\",reason=\"" + answer.reason + "\"");
+  task.services.events.count(
+      answer.outcome == Outcome::NotRun ? EventKind::CallsRefused
+                                        : EventKind::CallsFailed,
+      rule == nullptr ? "no service" : rule->name, answer.reason);
+  HeaderList list{{headers::Outcome, std::string(toString(answer.outcome))},
+                  {headers::RequestId, request->id},
+                  {"Content-Type", "text/plain"}};
+  if (answer.retryAfter)
+    list.emplace_back(headers::RetryAfter,
+                      std::to_string(answer.retryAfter->count()));
+  if (!isCallerGone)
+    incoming->reply(answer.status, list, answer.reason + "\n");
+  end();
+}
+
+void IngressCall::reject(unsigned status, const std::string &reason) {
+  answerSelf({status, Outcome::NotRun, reason, std::nullopt});
+}
+
+void IngressCall::replay(const StoredAnswer &answer) {
+  HeaderList list = answer.headers;
+  removeHeader(list, headers::RequestId);
+  list.emplace_back(headers::RequestId, request->id);
+  incoming->reply(answer.status, list, answer.body);
+  task.services.metrics.add("answers_replayed_total");
+  end();
+}
+
+void IngressCall::settleClaim(Outcome outcome) {
+  if (!std::exchange(isClaimHeld, false))
+    return;
+  if (outcome == Outcome::NotRun)
+    claim->release();
+  else
+    claim->finish(ClaimState::Unknown, {});
+}
+
+void IngressCall::cancelAttempts() {
+  for (const auto &[target, source] : std::exchange(attempts, {})) {
+    task.measure.loads().onEnded(target, false, NodeServices::now());
+    if (source)
+      source->cancel();
+  }
+}
+
+void IngressCall::end() {
+  if (std::exchange(isEnded, true))
+    return;
+  deadlineTimer.stop();
+  hedgeTimer.stop();
+  incoming->onGone(nullptr);
+  task.services.metrics.latency("call_seconds")
+      .record(NodeServices::now() - arrivedAt);
+  task.services.metrics.add("calls_total");
+  if (const auto action = std::exchange(onDone, nullptr))
+    action();
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/IngressCall.h
@@ -0,0 +1,87 @@
+/** \file
+ * One call of a caller, from its arrival to its answer. */
+#ifndef PLANTAINHATCH_NODE_INGRESSCALL_H
+#define PLANTAINHATCH_NODE_INGRESSCALL_H
+
+#include "connection/AnswerRelay.h"
+#include "connection/IncomingCall.h"
+#include "connection/Timer.h"
+#include "node/Claim.h"
+#include "node/GateCall.h"
+#include "node/IngressTask.h"
+#include "request/CallDecision.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace plantainhatch {
+
+/** Carries out what CallDecision and the claim decide. It holds the
+ * configuration version under which it started. Used on the main loop only. */
+class IngressCall
+    : public boost::intrusive_ref_counter<IngressCall,
+                                          boost::thread_unsafe_counter> {
+public:
+  /** Serves \p incoming. \param onDone is called once when the call has ended.
+   */
+  static void start(IngressTask &task, const IncomingCallPtr &incoming,
+                    std::function<void()> onDone);
+
+private:
+  IngressTask &task;
+  IncomingCallPtr incoming;
+  std::function<void()> onDone;
+  ConfigurationPtr configuration;
+  const ServiceRule *rule = nullptr;
+  std::shared_ptr<const CallRequest> request;
+  std::uint64_t fingerprint = 0;
+  TimePoint arrivedAt;
+  TimePoint deadline;
+  std::unique_ptr<CallDecision> decision;
+  ClaimPtr claim;
+  bool isClaimHeld = false;
+  bool isEnded = false;
+  bool isCallerGone = false;
+  /** Attempts under way by target. */
+  std::map<Address, AnswerSourcePtr> attempts;
+  Timer deadlineTimer;
+  Timer hedgeTimer;
+  /** The part of a claimed call's answer that has been read. */
+  std::string collected;
+
+  IngressCall(IngressTask &task, IncomingCallPtr incoming,
+              std::function<void()> onDone);
+
+  void begin();
+  std::shared_ptr<const CallRequest> makeRequest() const;
+  void beginClaim(const std::string &key);
+  void onClaimVerdict(Claim::Verdict verdict);
+  void onCallerGone();
+  void onDeadline();
+
+  void perform(CallAction action);
+  void forward(bool mayQueue);
+  AnswerSourcePtr handOver(const Choice &choice, bool mayQueue);
+  void onResult(const Address &target, HandOverResult result);
+  void startHedgeTimer();
+
+  void takeAnswer(const Address &target, HandedAnswer answer);
+  void collect(const Address &target, const AnswerHead &head,
+               const AnswerSourcePtr &source);
+  void onCollected(const Address &target, const AnswerHead &head,
+                   const AnswerSourcePtr &source, Chunk chunk);
+  void relay(const Address &target, AnswerHead head,
+             const AnswerSourcePtr &source);
+
+  void answerSelf(const AnswerAction &answer);
+  void reject(unsigned status, const std::string &reason);
+  void replay(const StoredAnswer &answer);
+  void settleClaim(Outcome outcome);
+  void cancelAttempts();
+  void end();
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/IngressTask.cpp
@@ -0,0 +1,50 @@
+#include "node/IngressTask.h"
+
+#include "node/IngressCall.h"
+#include "request/makeChoices.h"
+
+#include <algorithm>
+
+namespace plantainhatch {
+
+IngressTask::IngressTask(NodeServices &services, PeerTask &peers,
+                         ConfigurationTask &configuration, MeasureTask &measure,
+                         CrashTask &crashes, GateTask &gate,
+                         AnyPickPolicy policy)
+    : services(services), peers(peers), configuration(configuration),
+      measure(measure), crashes(crashes), gate(gate), policy(policy) {}
+
+void IngressTask::serve(const IncomingCallPtr &incoming,
+                        std::function<void()> onDone) {
+  IngressCall::start(*this, incoming, std::move(onDone));
+}
+
+std::optional<Choice> IngressTask::pick(const Configuration &current,
+                                        const std::string &service,
+                                        const std::set<Address> &tried) {
+  const TimePoint now = NodeServices::now();
+  const Address &self = services.settings.peers;
+  // The gate beside this node is asked directly, so what is known of it is
+  // never old.
+  if (peers.index().candidatesOf(service).contains(self))
+    measure.loads().onReport(self, gate.load(), now);
+  const FleetView view{peers.membership(), peers.index(), current,
+                       measure.loads()};
+  const auto choices = makeChoices(view, service, tried, now);
+  if (choices.empty())
+    return std::nullopt;
+  const std::size_t n = std::visit(
+      [&](auto &it) { return it.pick(choices, services.random); }, policy);
+  probeAnother(choices, n);
+  return choices[n];
+}
+
+void IngressTask::probeAnother(const std::vector<Choice> &choices,
+                               std::size_t picked) {
+  std::uniform_int_distribution<std::size_t> other(0, choices.size() - 1);
+  const std::size_t n = other(services.random);
+  if (n != picked && !choices[n].isLocalNode)
+    measure.onPick(choices[n].peers);
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/IngressTask.h
@@ -0,0 +1,64 @@
+/** \file
+ * Takes calls from callers and finds targets for them. */
+#ifndef PLANTAINHATCH_NODE_INGRESSTASK_H
+#define PLANTAINHATCH_NODE_INGRESSTASK_H
+
+#include "connection/IncomingCall.h"
+#include "node/ConfigurationTask.h"
+#include "node/CrashTask.h"
+#include "node/GateTask.h"
+#include "node/MeasureTask.h"
+#include "node/PeerTask.h"
+#include "request/LatencyWindow.h"
+#include "request/PickPolicy.h"
+#include "request/RetryBudget.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace plantainhatch {
+
+/** What an ingress keeps for one service. */
+struct ServiceState {
+  RetryBudget budget;
+  LatencyWindow latencies;
+};
+
+/** Owns the policy and what is learned about services; each call is an
+ * IngressCall. */
+class IngressTask {
+public:
+  IngressTask(NodeServices &services, PeerTask &peers,
+              ConfigurationTask &configuration, MeasureTask &measure,
+              CrashTask &crashes, GateTask &gate, AnyPickPolicy policy);
+
+  /** Serves a call of a caller. \param onDone is called once when it has ended.
+   */
+  void serve(const IncomingCallPtr &incoming, std::function<void()> onDone);
+
+  /** The next target for a call, or nothing. */
+  std::optional<Choice> pick(const Configuration &configuration,
+                             const std::string &service,
+                             const std::set<Address> &tried);
+
+  ServiceState &stateOf(const std::string &service) { return states[service]; }
+
+  NodeServices &services;
+  PeerTask &peers;
+  ConfigurationTask &configuration;
+  MeasureTask &measure;
+  CrashTask &crashes;
+  GateTask &gate;
+
+private:
+  AnyPickPolicy policy;
+  std::map<std::string, ServiceState> states;
+
+  void probeAnother(const std::vector<Choice> &choices, std::size_t picked);
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/MeasureTask.cpp
@@ -0,0 +1,50 @@
+#include "node/MeasureTask.h"
+
+namespace plantainhatch {
+
+namespace {
+
+/** Booked for each message before it is encoded; the wire is metered besides.
+ */
+constexpr std::size_t MessageBytes = 192;
+constexpr std::chrono::seconds ExpiryInterval{10};
+
+} // namespace
+
+MeasureTask::MeasureTask(NodeServices &services, PeerTask &peers,
+                         LoadSource source)
+    : services(services), peers(peers), source(std::move(source)) {
+  budget.reshape(MeasureRule());
+  expiryTimer.startRepeating(ExpiryInterval,
+                             [this] { table.expire(NodeServices::now()); });
+}
+
+void MeasureTask::onMessage(const Message &message) {
+  if (const auto *const probe = std::get_if<LoadProbe>(&message.body))
+    answerProbe(message.header.sender, *probe);
+  else if (const auto *const report = std::get_if<LoadReport>(&message.body))
+    table.onReport(message.header.sender, *report, NodeServices::now());
+}
+
+void MeasureTask::onPick(const Address &candidate) {
+  const TimePoint now = NodeServices::now();
+  if (table.estimate(candidate, 1, now).age < ProbeAge)
+    return;
+  if (!budget.trySpend(MessageBytes, now))
+    return;
+  const std::size_t n = peers.sendBare(candidate, LoadProbe{nextSequence++});
+  services.metrics.add("measure_messages_total");
+  services.metrics.add("measure_bytes_total", {}, n);
+}
+
+void MeasureTask::answerProbe(const Address &sender, const LoadProbe &probe) {
+  if (!budget.trySpend(MessageBytes, NodeServices::now()))
+    return;
+  LoadReport report = source();
+  report.sequence = probe.sequence;
+  const std::size_t n = peers.sendBare(sender, report);
+  services.metrics.add("measure_messages_total");
+  services.metrics.add("measure_bytes_total", {}, n);
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/NodeServices.cpp
@@ -0,0 +1,53 @@
+#include "node/NodeServices.h"
+
+#include <glog/logging.h>
+
+#include <ctime>
+
+namespace plantainhatch {
+
+namespace {
+
+std::chrono::nanoseconds threadTime() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
+} // namespace
+
+NodeServices::NodeServices(NodeSettings nodeSettings)
+    : settings(std::move(nodeSettings)), codec(settings.key),
+      session(makeHttpSession()), platform(settings.platform),
+      events(settings.callers.toString()), random(std::random_device()()) {}
+
+WallTime NodeServices::wallNow() {
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+void NodeServices::record(EventKind kind, std::string subject,
+                          std::string detail, std::string cause) {
+  LOG(INFO) << toString(kind) << " " << subject << ": " << detail << " ("
+            << cause << ")";
+  events.record(stamp(), kind, std::move(subject), std::move(detail),
+                std::move(cause));
+}
+
+std::string NodeServices::makeId() {
+  const std::unique_ptr<gchar, decltype(&g_free)> id(g_uuid_string_random(),
+                                                     g_free);
+  return id.get();
+}
+
+ControlScope::ControlScope(Metrics &metrics)
+    : metrics(metrics), startedAt(threadTime()) {}
+
+ControlScope::~ControlScope() {
+  const auto spent = threadTime() - startedAt;
+  metrics.add("control_cpu_nanoseconds_total", {},
+              static_cast<std::uint64_t>(spent.count()));
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/NodeServices.h
@@ -0,0 +1,77 @@
+/** \file
+ * What all tasks of a node share. */
+#ifndef PLANTAINHATCH_NODE_NODESERVICES_H
+#define PLANTAINHATCH_NODE_NODESERVICES_H
+
+#include "base/HybridClock.h"
+#include "base/Settings.h"
+#include "connection/HttpSession.h"
+#include "connection/MessageCodec.h"
+#include "connection/PlatformClient.h"
+#include "process/EventLog.h"
+#include "process/Metrics.h"
+
+#include <random>
+#include <string>
+
+namespace plantainhatch {
+
+/** Clocks, records and clients of one node. It outlives all tasks. Used on the
+ * main loop only. */
+class NodeServices {
+public:
+  explicit NodeServices(NodeSettings nodeSettings);
+
+  const NodeSettings settings;
+  const MessageCodec codec;
+  /** Nodes and targets. */
+  const GObjectPtr<SoupSession> session;
+  PlatformClient platform;
+  EventLog events;
+  Metrics metrics;
+  std::mt19937_64 random;
+
+  /** The monotonic clock. */
+  static TimePoint now() { return std::chrono::steady_clock::now(); }
+  /** The wall clock. */
+  static WallTime wallNow();
+  /** A stamp for a message that is about to leave. */
+  HybridTime stamp() { return clock.stamp(wallNow()); }
+  /** Takes in the stamp of a message. */
+  void observe(HybridTime time) { clock.observe(time, wallNow()); }
+
+  /** Records and logs an event. */
+  void record(EventKind kind, std::string subject, std::string detail,
+              std::string cause);
+
+  /** A random identifier. */
+  std::string makeId();
+
+  /** The name of a table of this cluster. */
+  std::string table(const std::string &name) const {
+    return settings.cluster + "-" + name;
+  }
+
+private:
+  HybridClock clock;
+};
+
+/** Meters the processor time of what the fleet's control costs, from
+ * construction to destruction. Scopes must not nest. */
+class ControlScope {
+public:
+  explicit ControlScope(Metrics &metrics);
+  ~ControlScope();
+  ControlScope(const ControlScope &) = delete;
+  ControlScope &operator=(const ControlScope &) = delete;
+  ControlScope(ControlScope &&) = delete;
+  ControlScope &operator=(ControlScope &&) = delete;
+
+private:
+  Metrics &metrics;
+  std::chrono::nanoseconds startedAt;
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/PeerTask.h
@@ -0,0 +1,105 @@
+/** \file
+ * Speaks with other nodes: membership by UDP, bulk by TCP. */
+#ifndef PLANTAINHATCH_NODE_PEERTASK_H
+#define PLANTAINHATCH_NODE_PEERTASK_H
+
+#include "connection/BulkServer.h"
+#include "connection/PeerSocket.h"
+#include "connection/Timer.h"
+#include "node/NodeServices.h"
+#include "process/Membership.h"
+#include "process/ServiceIndex.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace plantainhatch {
+
+/** Owns the peers address and this node's view of the fleet. */
+class PeerTask {
+public:
+  static constexpr std::chrono::seconds SyncInterval{10};
+
+  /** What other tasks are told. All are called on the main loop; unset ones are
+   * not called. */
+  struct Listeners {
+    /** A datagram that is not about membership. */
+    std::function<void(const Message &)> message;
+    /** A node has a version that differs from the one in force here. */
+    std::function<void(const Address &sender, std::uint64_t version)> version;
+    /** Answers a peer's request for the configuration. */
+    std::function<ConfigurationReply(const ConfigurationRequest &)>
+        configuration;
+    /** Members have changed. */
+    std::function<void(const std::vector<MemberChange> &)> members;
+  };
+
+  /** Opens the sockets. \return the task, or findings if the address cannot be
+   * used. */
+  static Checked<std::unique_ptr<PeerTask>> start(NodeServices &services);
+
+  ~PeerTask() = default;
+  PeerTask(const PeerTask &) = delete;
+  PeerTask &operator=(const PeerTask &) = delete;
+  PeerTask(PeerTask &&) = delete;
+  PeerTask &operator=(PeerTask &&) = delete;
+
+  void listen(Listeners newListeners) { listeners = std::move(newListeners); }
+
+  /** Sends a datagram with a header and news. \return the bytes on the wire. */
+  std::size_t send(const Address &receiver, const MessageBody &body);
+  /** Sends a datagram with a header only, so that its size is bounded.
+   * \return the bytes on the wire. */
+  std::size_t sendBare(const Address &receiver, const MessageBody &body);
+  /** Asks a node over TCP; nothing comes back if it does not answer. */
+  void request(const Address &receiver, const BulkRequestBody &body,
+               std::function<void(std::optional<BulkReplyBody>)> done);
+  /** Exchanges memberships with a node that is not known yet. */
+  void join(const Address &seed);
+  /** Tells the fleet of the target beside this node. */
+  void setTarget(const Target &target);
+  /** Tells the fleet that this node leaves. */
+  void leave();
+  /** Sends notices, so that urgent news leaves at once. */
+  void spreadNews();
+  /** The version that goes out in headers. */
+  void setVersion(std::uint64_t newVersion) { version = newVersion; }
+
+  const Membership &membership() const { return members; }
+  const ServiceIndex &index() const { return serviceIndex; }
+  std::optional<Address> pickRandomPeer() { return members.pickRandomPeer(); }
+
+private:
+  NodeServices &services;
+  Membership members;
+  ServiceIndex serviceIndex;
+  Listeners listeners;
+  std::unique_ptr<PeerSocket> socket;
+  std::unique_ptr<BulkServer> server;
+  Timer tickTimer;
+  Timer syncTimer;
+  std::uint64_t version = 0;
+  /** Guards callbacks of requests that outlive the task. */
+  std::shared_ptr<PeerTask *> alive = std::make_shared<PeerTask *>(this);
+
+  explicit PeerTask(NodeServices &services);
+
+  MessageHeader makeHeader();
+  std::size_t transmit(const Address &receiver, const Message &message);
+  bool isAcceptable(const MessageHeader &header);
+  void tick();
+  void sync();
+  void syncWith(const Address &peer);
+  void receive(std::string_view bytes);
+  std::optional<std::string> answer(const std::string &frame);
+  BulkReplyBody answerBody(const BulkRequestBody &body);
+  void sendAll(const std::vector<Outgoing> &outgoing);
+  void publishChanges();
+  void recordChange(const MemberChange &change);
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/RemoteHandOver.cpp
@@ -0,0 +1,129 @@
+#include "node/RemoteHandOver.h"
+
+#include "request/ForwardProof.h"
+#include "request/HeaderNames.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace plantainhatch {
+
+namespace {
+
+/** Kept back from the time that is passed on, so that the gate's answer about a
+ * missed deadline still comes in before this node's own. */
+constexpr std::chrono::milliseconds HopMargin{4};
+constexpr std::chrono::milliseconds LeastTimeout{1};
+
+std::chrono::milliseconds timeoutToPass(TimePoint deadline, TimePoint now) {
+  const auto left =
+      std::chrono::floor<std::chrono::milliseconds>(deadline - now);
+  return std::max(LeastTimeout, left - HopMargin);
+}
+
+HeaderList makeHeaders(NodeServices &services, const Choice &choice,
+                       const HandOver &handOver, std::uint64_t version) {
+  ForwardClaims claims;
+  claims.service = handOver.service;
+  claims.time = services.stamp();
+  claims.timeoutMs =
+      std::to_string(timeoutToPass(handOver.deadline, services.now()).count());
+  claims.gate = choice.callers.toString();
+  return {{headers::RequestId, handOver.request->id},
+          {headers::TimeoutMs, claims.timeoutMs},
+          {headers::Service, claims.service},
+          {headers::Time, claims.time.toString()},
+          {headers::MayQueue, handOver.mayQueue ? "1" : "0"},
+          {headers::Claimed, handOver.isClaimed ? "1" : "0"},
+          {headers::Version, std::to_string(version)},
+          {headers::Proof,
+           makeForwardProof(services.settings.key, *handOver.request, claims)}};
+}
+
+std::optional<LoadReport> parseLoad(const std::string &text) {
+  LoadReport report;
+  std::istringstream stream(text);
+  stream >> report.inFlight >> report.limit >> report.latencyUs;
+  return stream ? std::optional(report) : std::nullopt;
+}
+
+} // namespace
+
+AnswerSourcePtr
+RemoteHandOver::start(NodeServices &services, MeasureTask &measure,
+                      const Choice &choice, const HandOver &handOver,
+                      std::uint64_t version, GateCall::Receiver receiver) {
+  const boost::intrusive_ptr<RemoteHandOver> self(
+      new RemoteHandOver(services, measure, choice.peers, std::move(receiver)));
+  const ExchangeOptions options{
+      choice.callers, makeHeaders(services, choice, handOver, version),
+      handOver.isClaimed};
+  self->exchange = Exchange::start(
+      services.session.get(), *handOver.request, options,
+      [self](Exchange::Result result) { self->onHead(std::move(result)); });
+  return self;
+}
+
+RemoteHandOver::RemoteHandOver(NodeServices &services, MeasureTask &measure,
+                               Address gate, GateCall::Receiver receiver)
+    : services(services), measure(measure), gate(std::move(gate)),
+      receiver(std::move(receiver)) {}
+
+void RemoteHandOver::cancel() {
+  receiver = nullptr;
+  if (exchange)
+    exchange->cancel();
+}
+
+void RemoteHandOver::onHead(Exchange::Result result) {
+  if (auto *const head = std::get_if<AnswerHead>(&result)) {
+    takeLoad(*head);
+    onAnswer(std::move(*head));
+    return;
+  }
+  const ExchangeError &error = std::get<ExchangeError>(result);
+  if (error.isProvablyUnsent)
+    deliver(HandRefused{Refusal::NotConnected});
+  else
+    deliver(HandFailed{false, error.message});
+}
+
+void RemoteHandOver::onAnswer(AnswerHead head) {
+  const auto reason = findHeader(head.headers, headers::Reason);
+  if (!reason) {
+    removeHopHeaders(head.headers);
+    deliver(HandedAnswer{std::move(head), this});
+    return;
+  }
+  const bool isNotRun = findHeader(head.headers, headers::Outcome) ==
+                        std::string(toString(Outcome::NotRun));
+  drain(exchange);
+  if (isNotRun)
+    deliver(HandRefused{parseRefusal(*reason)});
+  else
+    deliver(HandFailed{*reason == "target-died", *reason});
+}
+
+void RemoteHandOver::takeLoad(const AnswerHead &head) {
+  if (const auto time = findHeader(head.headers, headers::Time))
+    if (const auto parsed = HybridTime::parse(*time))
+      services.observe(*parsed);
+  const auto text = findHeader(head.headers, headers::Load);
+  const auto report = text ? parseLoad(*text) : std::nullopt;
+  if (report)
+    measure.loads().onReport(gate, *report, NodeServices::now());
+}
+
+void RemoteHandOver::deliver(HandOverResult result) {
+  if (const auto action = std::exchange(receiver, nullptr))
+    action(std::move(result));
+}
+
+void drain(const AnswerSourcePtr &source) {
+  source->read([source](const Chunk &chunk) {
+    if (std::holds_alternative<GBytesPtr>(chunk))
+      drain(source);
+  });
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/SeedTask.cpp
@@ -0,0 +1,96 @@
+#include "node/SeedTask.h"
+
+#include "process/Rendezvous.h"
+
+#include <algorithm>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr unsigned MaxRows = 1000;
+constexpr std::size_t Readers = 2;
+
+std::string rowPrefix(const std::string &failureDomain) {
+  return failureDomain + "/";
+}
+
+} // namespace
+
+SeedTask::SeedTask(NodeServices &services, PeerTask &peers)
+    : services(services), peers(peers) {}
+
+void SeedTask::start() {
+  timer.startRepeating(LonelyInterval, [this] { tick(); });
+  joinSettings();
+  read();
+}
+
+void SeedTask::tick() {
+  const ControlScope scope(services.metrics);
+  const bool isLonely = peers.membership().presentCount() == 1;
+  const TimePoint now = NodeServices::now();
+  if (isLonely)
+    joinSettings();
+  const bool isDue = now - lastReadAt >= Interval &&
+                     isChosen(peers.membership(), "seeds",
+                              std::max<std::size_t>(Readers, RowsPerDomain));
+  if (isLonely || isDue)
+    read();
+}
+
+void SeedTask::joinSettings() {
+  for (const Address &seed : services.settings.seeds)
+    peers.join(seed);
+}
+
+void SeedTask::read() {
+  lastReadAt = NodeServices::now();
+  services.platform.readRows(services.table(SeedTable), "", MaxRows,
+                             [this](const RowsResult &result) {
+                               const ControlScope scope(services.metrics);
+                               if (result.result == StoreResult::Ok)
+                                 onRows(result.rows);
+                             });
+}
+
+void SeedTask::onRows(const std::vector<Row> &rows) {
+  for (const Row &row : rows) {
+    const auto address = Address::parse(row.value);
+    if (address && !isLiving(*address))
+      peers.join(*address);
+  }
+  takeRow(rows);
+}
+
+void SeedTask::takeRow(const std::vector<Row> &rows) {
+  const std::string self = services.settings.peers.toString();
+  const std::string prefix = rowPrefix(services.settings.failureDomain);
+  if (std::ranges::any_of(rows,
+                          [&](const Row &row) { return row.value == self; }))
+    return;
+  for (unsigned slot = 0; slot < RowsPerDomain; ++slot) {
+    const std::string key = prefix + std::to_string(slot);
+    const auto it = std::ranges::find(rows, key, &Row::key);
+    const bool isFree = it == rows.end();
+    if (!isFree) {
+      const auto holder = Address::parse(it->value);
+      if (holder && isLiving(*holder))
+        continue;
+    }
+    Transaction transaction;
+    transaction.checks.push_back(
+        {key, isFree ? std::nullopt : std::optional(it->etag)});
+    transaction.puts.emplace_back(key, self);
+    services.platform.commit(services.table(SeedTable), transaction,
+                             [](const TransactionResult & /*result*/) {});
+    return;
+  }
+}
+
+bool SeedTask::isLiving(const Address &address) const {
+  const Member *const member = peers.membership().find(address);
+  return member != nullptr && member->isPresent();
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/SeedTask.h
@@ -0,0 +1,51 @@
+/** \file
+ * Keeps a few rows in the platform's table by which nodes find each other. */
+#ifndef PLANTAINHATCH_NODE_SEEDTASK_H
+#define PLANTAINHATCH_NODE_SEEDTASK_H
+
+#include "connection/Timer.h"
+#include "node/NodeServices.h"
+#include "node/PeerTask.h"
+
+#include <string>
+#include <vector>
+
+namespace plantainhatch {
+
+/** Name of the table of seeds, without the cluster. */
+inline constexpr const char *SeedTable = "seeds";
+
+/** Reads the seed rows, joins the nodes they name, and takes over a row of this
+ * failure domain that names no living node. Rows only help nodes meet; nothing
+ * rests on their truth. */
+class SeedTask {
+public:
+  /** Rows of each failure domain. */
+  static constexpr unsigned RowsPerDomain = 3;
+  /** While this node knows nobody. */
+  static constexpr std::chrono::milliseconds LonelyInterval{500};
+  /** Otherwise, and then by the readers of each failure domain only. */
+  static constexpr std::chrono::seconds Interval{5};
+
+  SeedTask(NodeServices &services, PeerTask &peers);
+
+  /** Joins the seeds of the settings and reads the rows. */
+  void start();
+
+private:
+  NodeServices &services;
+  PeerTask &peers;
+  Timer timer;
+  TimePoint lastReadAt{};
+
+  void tick();
+  void joinSettings();
+  void read();
+  void onRows(const std::vector<Row> &rows);
+  void takeRow(const std::vector<Row> &rows);
+  bool isLiving(const Address &address) const;
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/node/StatusTask.cpp
@@ -0,0 +1,176 @@
+#include "node/StatusTask.h"
+
+#include "node/EventJson.h"
+#include "request/HeaderNames.h"
+#include "request/Outcome.h"
+
+#include <ranges>
+#include <sstream>
+
+namespace plantainhatch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned Ok = 200;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned NotFound = 404;
+constexpr unsigned MethodNotAllowed = 405;
+
+json toJson(const Member &member) {
+  return {{"peers", member.peers.toString()},
+          {"callers", member.callers.toString()},
+          {"failureDomain", member.failureDomain},
+          {"liveness", toString(member.liveness)},
+          {"generation", member.generation},
+          {"incarnation", member.incarnation},
+          {"service", member.target.service},
+          {"target", member.target.state == TargetState::Absent
+                         ? std::string()
+                         : member.target.address.toString()},
+          {"targetState", toString(member.target.state)},
+          {"slots", member.target.slots}};
+}
+
+void refuse(const IncomingCallPtr &call, unsigned status,
+            const std::string &message) {
+  call->reply(status,
+              {{headers::Outcome, std::string(toString(Outcome::NotRun))},
+               {"Content-Type", "text/plain"}},
+              message + "\n");
+}
+
+/** The value of a query parameter of \p target. */
+std::optional<std::string> findParameter(const std::string &target,
+                                         const std::string &name) {
+  const auto question = target.find('?');
+  if (question == std::string::npos)
+    return std::nullopt;
+  std::istringstream query(target.substr(question + 1));
+  std::string item;
+  while (std::getline(query, item, '&'))
+    if (item.starts_with(name + "="))
+      return item.substr(name.size() + 1);
+  return std::nullopt;
+}
+
+} // namespace
+
+StatusTask::StatusTask(NodeServices &services, PeerTask &peers,
+                       ConfigurationTask &configuration, MeasureTask &measure,
+                       CrashTask &crashes, GateTask &gate)
+    : services(services), peers(peers), configuration(configuration),
+      measure(measure), crashes(crashes), gate(gate) {}
+
+void StatusTask::serve(const IncomingCallPtr &call) {
+  const CallRequest &request = call->request();
+  const std::string name(
+      request.path().substr(std::string_view(PathPrefix).size()));
+  const HeaderList jsonType{{"Content-Type", "application/json"}};
+  if (!isSafeMethod(request.method)) {
+    refuse(call, MethodNotAllowed, "nothing is changed here; use GET");
+  } else if (name == "status") {
+    const bool hasMembers = findParameter(request.target, "members") != "0";
+    call->reply(Ok, jsonType, makeStatus(hasMembers).dump() + "\n");
+  } else if (name == "events") {
+    const auto since =
+        HybridTime::parse(findParameter(request.target, "since").value_or("0"));
+    if (!since)
+      refuse(call, BadRequest, "since: is not a time of an event");
+    else
+      call->reply(
+          Ok, jsonType,
+          json{{"events", plantainhatch::toJson(services.events.since(*since))},
+               {"dropped", services.events.droppedCount()}}
+                  .dump() +
+              "\n");
+  } else if (name == "metrics") {
+    call->reply(Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                makeMetrics());
+  } else {
+    refuse(call, NotFound, "there is only status, events and metrics");
+  }
+}
+
+json StatusTask::makeStatus(bool hasMembers) const {
+  const ConfigurationHead &head = configuration.current()->head();
+  json status{{"node", services.settings.callers.toString()},
+              {"cluster", services.settings.cluster},
+              {"failureDomain", services.settings.failureDomain},
+              {"stopping", isStopping},
+              {"version", head.version},
+              {"digest", head.digest},
+              {"applyId", head.applyId},
+              {"storeUp", configuration.isStoreUp()},
+              {"present", peers.membership().presentCount()},
+              {"gate", makeGate()},
+              {"quarantine", makeQuarantine()},
+              {"measure", makeMeasure()}};
+  if (hasMembers)
+    status["members"] = makeMembers();
+  return status;
+}
+
+json StatusTask::makeGate() const {
+  const Gate &state = gate.state();
+  return {{"service", state.target().service},
+          {"target", state.target().address.isEmpty()
+                         ? std::string()
+                         : state.target().address.toString()},
+          {"state", toString(state.target().state)},
+          {"bootId", state.target().bootId},
+          {"slots", state.target().slots},
+          {"coldSlots", state.target().coldSlots},
+          {"limit", state.limit()},
+          {"inFlight", state.inFlight()},
+          {"queued", state.queued()},
+          {"peakInFlight", state.peakInFlight()}};
+}
+
+json StatusTask::makeMembers() const {
+  json list = json::array();
+  list.push_back(toJson(peers.membership().self()));
+  for (const Member &member : peers.membership().others() | std::views::values)
+    list.push_back(toJson(member));
+  return list;
+}
+
+json StatusTask::makeQuarantine() const {
+  json list = json::array();
+  for (const Quarantine::Entry &entry : crashes.list()) {
+    std::ostringstream fingerprint;
+    fingerprint << std::hex << entry.fingerprint;
+    const auto left =
+        std::chrono::duration_cast<std::chrono::seconds>(entry.remaining);
+    list.push_back({{"fingerprint", fingerprint.str()},
+                    {"crashes", entry.crashes},
+                    {"quarantined", entry.isQuarantined},
+                    {"remainingSeconds", left.count()}});
+  }
+  return list;
+}
+
+json StatusTask::makeMeasure() const {
+  const MeasureRule &rule = configuration.current()->measure();
+  return {{"messagesPerSecond", rule.messagesPerSecond},
+          {"bytesPerSecond", rule.bytesPerSecond},
+          {"messages", measure.spending().messageCount()},
+          {"refused", measure.spending().refusedCount()}};
+}
+
+std::string StatusTask::makeMetrics() {
+  const Gate &state = gate.state();
+  services.metrics.set("gate_in_flight", state.inFlight());
+  services.metrics.set("gate_limit", state.limit());
+  services.metrics.set("gate_queued", static_cast<double>(state.queued()));
+  services.metrics.set("platform_requests",
+                       static_cast<double>(services.platform.requestCount()));
+  services.metrics.set("platform_bytes",
+                       static_cast<double>(services.platform.byteCount()));
+  services.metrics.set("members_present",
+                       static_cast<double>(peers.membership().presentCount()));
+  return services.metrics.print();
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/node/parseAnnouncement.cpp
@@ -0,0 +1,94 @@
+#include "node/parseAnnouncement.h"
+
+#include <nlohmann/json.hpp>
+
+#include <limits>
+#include <optional>
+
+namespace plantainhatch {
+
+namespace {
+
+using nlohmann::json;
+
+/** Reads typed fields of one body and gathers findings. */
+class BodyReader {
+public:
+  explicit BodyReader(const std::string &body) {
+    object = json::parse(body, nullptr, false);
+    if (!object.is_object())
+      report({}, "the body must be a JSON object");
+  }
+
+  std::string text(const char *field, bool isRequired) {
+    const auto it = object.is_object() ? object.find(field) : object.end();
+    if (it == object.end()) {
+      if (isRequired && object.is_object())
+        report(field, "is missing");
+      return {};
+    }
+    if (!it->is_string() || (isRequired && it->get<std::string>().empty())) {
+      report(field, "must be a non-empty string");
+      return {};
+    }
+    return it->get<std::string>();
+  }
+
+  std::uint16_t count(const char *field) {
+    const auto it = object.is_object() ? object.find(field) : object.end();
+    if (it == object.end()) {
+      if (object.is_object())
+        report(field, "is missing");
+      return 0;
+    }
+    constexpr int Most = std::numeric_limits<std::uint16_t>::max();
+    const bool isGood = it->is_number_integer() && *it >= 1 && *it <= Most;
+    if (!isGood)
+      report(field, "must be a whole number from 1 to " + std::to_string(Most));
+    return isGood ? it->get<std::uint16_t>() : std::uint16_t{0};
+  }
+
+  void report(const std::string &field, std::string message) {
+    found.push_back({"body", 0, 0, field, std::move(message)});
+  }
+
+  const Findings &findings() const { return found; }
+
+private:
+  json object;
+  Findings found;
+};
+
+} // namespace
+
+Checked<Target> parseAnnouncement(const std::string &body) {
+  BodyReader reader(body);
+  Target target;
+  target.service = reader.text("service", true);
+  const std::string address = reader.text("address", true);
+  target.slots = reader.count("slots");
+  target.connections = reader.count("connections");
+  target.coldSlots = reader.count("coldSlots");
+  target.bootId = reader.text("bootId", true);
+  target.loadPath = reader.text("loadPath", false);
+  const auto parsed = Address::parse(address);
+  if (!address.empty() && !parsed)
+    reader.report("address",
+                  "'" + address + "' is not an IP number with a port");
+  if (target.coldSlots > target.slots && target.slots > 0)
+    reader.report("coldSlots", "is larger than slots");
+  if (!reader.findings().empty())
+    return reader.findings();
+  target.address = *parsed;
+  return target;
+}
+
+Checked<std::string> parseLeave(const std::string &body) {
+  BodyReader reader(body);
+  std::string bootId = reader.text("bootId", true);
+  if (!reader.findings().empty())
+    return reader.findings();
+  return bootId;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/process/ConfigurationKeeper.cpp
@@ -0,0 +1,86 @@
+#include "process/ConfigurationKeeper.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace plantainhatch {
+
+AdoptResult ConfigurationKeeper::adopt(const ConfigurationHead &head,
+                                       std::string text) {
+  if (head.version == version() && head.digest != inForce->head().digest)
+    return AdoptResult::Conflict;
+  if (head.version <= version())
+    return AdoptResult::NotNewer;
+  return replaceBy(head, std::move(text));
+}
+
+AdoptResult ConfigurationKeeper::adopt(const ConfigurationUpdate &update) {
+  if (update.whole)
+    return adopt(update.whole->first, update.whole->second);
+  if (update.fromVersion != version() || update.steps.empty())
+    return AdoptResult::NotNewer;
+  AdoptResult result = AdoptResult::NotNewer;
+  for (const ConfigurationStep &step : update.steps) {
+    auto text = step.delta.apply(inForce->text());
+    if (!text)
+      return AdoptResult::Invalid;
+    result = adopt(step.head, std::move(*text));
+    if (result != AdoptResult::Adopted)
+      return result;
+  }
+  return result;
+}
+
+std::optional<ConfigurationUpdate>
+ConfigurationKeeper::updateFor(std::uint64_t peerVersion,
+                               const std::string &digest) const {
+  if (peerVersion >= version())
+    return std::nullopt;
+  ConfigurationUpdate update{peerVersion, {}, std::nullopt};
+  if (digestAt(peerVersion) == digest) {
+    const auto count = static_cast<std::ptrdiff_t>(version() - peerVersion);
+    std::ranges::copy(steps.end() - count, steps.end(),
+                      std::back_inserter(update.steps));
+  } else {
+    update.whole.emplace(inForce->head(), inForce->text());
+  }
+  return update;
+}
+
+AdoptResult ConfigurationKeeper::replaceBy(const ConfigurationHead &head,
+                                           std::string text) {
+  const auto built = Configuration::build(head, std::move(text));
+  if (!built)
+    return AdoptResult::Invalid;
+  const bool isNext = head.version == version() + 1;
+  if (!isNext)
+    steps.clear();
+  if (isNext) {
+    if (steps.empty())
+      baseDigest = inForce->head().digest;
+    steps.push_back(
+        {head, TextDelta::between(inForce->text(), built.value()->text())});
+  }
+  if (steps.size() > MaxSteps) {
+    baseDigest = steps.front().head.digest;
+    steps.pop_front();
+  }
+  inForce = built.value();
+  return AdoptResult::Adopted;
+}
+
+std::optional<std::string>
+ConfigurationKeeper::digestAt(std::uint64_t wanted) const {
+  if (steps.empty())
+    return std::nullopt;
+  const std::uint64_t base = steps.front().head.version - 1;
+  if (wanted == base)
+    return baseDigest;
+  const auto it =
+      std::ranges::find(steps, wanted, [](const ConfigurationStep &step) {
+        return step.head.version;
+      });
+  return it == steps.end() ? std::nullopt : std::optional(it->head.digest);
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/process/ConfigurationKeeper.h
@@ -0,0 +1,83 @@
+/** \file
+ * The configuration in force at one node, which only ever moves forward. */
+#ifndef PLANTAINHATCH_PROCESS_CONFIGURATIONKEEPER_H
+#define PLANTAINHATCH_PROCESS_CONFIGURATIONKEEPER_H
+
+#include "version/Configuration.h"
+#include "version/TextDelta.h"
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace plantainhatch {
+
+/** One step from a version to the next. */
+struct ConfigurationStep {
+  ConfigurationHead head;
+  TextDelta delta;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(head, delta);
+  }
+};
+
+/** What takes a node from the version it has to a newer one: steps, or else the
+ * whole text. */
+struct ConfigurationUpdate {
+  std::uint64_t fromVersion = 0;
+  std::vector<ConfigurationStep> steps;
+  /** Set if the sender has not kept the steps that are needed. */
+  std::optional<std::pair<ConfigurationHead, std::string>> whole;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(fromVersion, steps, whole);
+  }
+};
+
+/** What became of an offered version. */
+enum class AdoptResult : std::uint8_t {
+  Adopted,
+  /** It is not newer than what is in force. */
+  NotNewer,
+  /** It has the number of the version in force and another content. */
+  Conflict,
+  /** Its text is damaged or does not fit its head. */
+  Invalid
+};
+
+/** Holds the version in force. A version with a lower number is never taken,
+ * whoever offers it. Not thread-safe. */
+class ConfigurationKeeper {
+public:
+  /** Steps kept for peers that lag. */
+  static constexpr std::size_t MaxSteps = 64;
+
+  ConfigurationKeeper() : inForce(Configuration::makeEmpty()) {}
+
+  /** The version in force; never null. */
+  const ConfigurationPtr &current() const { return inForce; }
+  std::uint64_t version() const { return inForce->head().version; }
+
+  /** Takes a whole version if it is newer. */
+  AdoptResult adopt(const ConfigurationHead &head, std::string text);
+
+  /** Takes a peer's update if it is newer. */
+  AdoptResult adopt(const ConfigurationUpdate &update);
+
+  /** What a peer at \p version with \p digest needs; nothing if it is up to
+   * date. */
+  std::optional<ConfigurationUpdate> updateFor(std::uint64_t version,
+                                               const std::string &digest) const;
+
+private:
+  ConfigurationPtr inForce;
+  std::deque<ConfigurationStep> steps;
+  /** Digest of the text that the first kept step starts from. */
+  std::string baseDigest;
+
+  AdoptResult replaceBy(const ConfigurationHead &head, std::string text);
+  std::optional<std::string> digestAt(std::uint64_t version) const;
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/process/Dissemination.cpp
@@ -0,0 +1,36 @@
+#include "process/Dissemination.h"
+
+#include <bit>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr unsigned TransmitFactor = 3;
+
+} // namespace
+
+void Dissemination::enqueue(const Address &member) {
+  const auto it = sentCounts.find(member);
+  if (it != sentCounts.end())
+    order.erase({it->second, member});
+  sentCounts[member] = 0;
+  order.emplace(0U, member);
+}
+
+unsigned Dissemination::transmitLimit(std::size_t fleetSize) {
+  return TransmitFactor * static_cast<unsigned>(std::bit_width(fleetSize));
+}
+
+void Dissemination::markSent(const Entry &entry, unsigned limit) {
+  order.erase(entry);
+  const unsigned count = entry.first + 1;
+  if (count >= limit) {
+    sentCounts.erase(entry.second);
+    return;
+  }
+  sentCounts[entry.second] = count;
+  order.emplace(count, entry.second);
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/process/Dissemination.h
@@ -0,0 +1,58 @@
+/** \file
+ * Decides which membership updates ride on the next datagram. */
+#ifndef PLANTAINHATCH_PROCESS_DISSEMINATION_H
+#define PLANTAINHATCH_PROCESS_DISSEMINATION_H
+
+#include "base/Address.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace plantainhatch {
+
+/** A queue of members with news. Each is sent a number of times that grows with
+ * the logarithm of the fleet, the least sent first, so news reaches all with
+ * high probability. Not thread-safe. */
+class Dissemination {
+public:
+  /** Starts over for \p member. */
+  void enqueue(const Address &member);
+
+  /** Visits members in sending order while \p take returns true. A visited
+   * member counts as sent and leaves the queue after transmitLimit() of them.
+   */
+  template <typename Take> void drain(std::size_t fleetSize, Take take);
+
+  bool isEmpty() const { return order.empty(); }
+  std::size_t size() const { return order.size(); }
+
+  /** How often one update is sent in a fleet of this size. */
+  static unsigned transmitLimit(std::size_t fleetSize);
+
+private:
+  /** The number of times sent, and the member. */
+  using Entry = std::pair<unsigned, Address>;
+
+  std::map<Address, unsigned> sentCounts;
+  std::set<Entry> order;
+
+  void markSent(const Entry &entry, unsigned limit);
+};
+
+template <typename Take>
+void Dissemination::drain(std::size_t fleetSize, Take take) {
+  std::vector<Entry> sent;
+  for (const Entry &entry : order) {
+    if (!take(entry.second))
+      break;
+    sent.push_back(entry);
+  }
+  const unsigned limit = transmitLimit(fleetSize);
+  for (const Entry &entry : sent)
+    markSent(entry, limit);
+}
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/process/FreshnessGuard.cpp
@@ -0,0 +1,31 @@
+#include "process/FreshnessGuard.h"
+
+#include <utility>
+
+namespace plantainhatch {
+
+bool FreshnessGuard::isStale(TimePoint now) {
+  notice(now);
+  if (staleSince == TimePoint{})
+    return false;
+  if (now - staleSince >= MaxStale)
+    staleSince = TimePoint{};
+  return staleSince != TimePoint{};
+}
+
+void FreshnessGuard::onConfirmed(TimePoint askedAt) {
+  if (askedAt >= staleSince)
+    staleSince = TimePoint{};
+}
+
+bool FreshnessGuard::takePause() { return std::exchange(isPauseNew, false); }
+
+void FreshnessGuard::notice(TimePoint now) {
+  if (lastSeen != TimePoint{} && now - lastSeen > PauseThreshold) {
+    staleSince = now;
+    isPauseNew = true;
+  }
+  lastSeen = now;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/process/Gate.cpp
@@ -0,0 +1,212 @@
+#include "process/Gate.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <ranges>
+
+namespace plantainhatch {
+
+namespace {
+
+struct RefusalName {
+  Refusal refusal;
+  std::string_view name;
+};
+
+constexpr std::array RefusalNames{
+    RefusalName{Refusal::None, "none"},
+    RefusalName{Refusal::Full, "full"},
+    RefusalName{Refusal::DeadlineTooClose, "deadline-too-close"},
+    RefusalName{Refusal::NoTarget, "no-target"},
+    RefusalName{Refusal::WrongService, "wrong-service"},
+    RefusalName{Refusal::TargetLeaving, "target-leaving"},
+    RefusalName{Refusal::DomainOut, "domain-out"},
+    RefusalName{Refusal::VmOut, "vm-out"},
+    RefusalName{Refusal::NodeStopping, "node-stopping"},
+    RefusalName{Refusal::Quarantined, "quarantined"},
+    RefusalName{Refusal::TargetShed, "target-shed"},
+    RefusalName{Refusal::NotConnected, "not-connected"},
+    RefusalName{Refusal::Stale, "stale"}};
+
+} // namespace
+
+std::string_view toString(Refusal refusal) {
+  const auto *const it =
+      std::ranges::find(RefusalNames, refusal, &RefusalName::refusal);
+  return it == RefusalNames.end() ? "none" : it->name;
+}
+
+Refusal parseRefusal(std::string_view text) {
+  const auto *const it =
+      std::ranges::find(RefusalNames, text, &RefusalName::name);
+  return it == RefusalNames.end() ? Refusal::None : it->refusal;
+}
+
+bool Gate::announce(const Target &target) {
+  const bool isNewStart = target.bootId != currentTarget.bootId ||
+                          currentTarget.state == TargetState::Absent;
+  const bool hasNewSize = target.slots != currentTarget.slots ||
+                          target.coldSlots != currentTarget.coldSlots;
+  const bool wasLeaving =
+      currentTarget.state == TargetState::Leaving && !isNewStart;
+  currentTarget = target;
+  if (isNewStart || hasNewSize) {
+    gateLimit.start(target.coldSlots, target.slots);
+    peak = 0;
+  }
+  if (wasLeaving)
+    currentTarget.state = TargetState::Leaving;
+  else
+    currentTarget.state = isCold() ? TargetState::Cold : TargetState::Warm;
+  return isNewStart;
+}
+
+bool Gate::leave(const std::string &bootId) {
+  if (bootId != currentTarget.bootId ||
+      currentTarget.state == TargetState::Absent)
+    return false;
+  currentTarget.state = TargetState::Leaving;
+  return true;
+}
+
+void Gate::lose() {
+  currentTarget.state = TargetState::Absent;
+  gateLimit.onFailed();
+}
+
+Admission Gate::admit(const GateRequest &request, TimePoint now) {
+  const Refusal refusal = reasonToRefuse(request, now);
+  if (refusal != Refusal::None)
+    return {Admission::Kind::Refused, refusal};
+  if (inFlight() < limit() && queue.empty()) {
+    start(request, now);
+    return {Admission::Kind::Admitted, Refusal::None};
+  }
+  if (!request.mayQueue || queue.size() >= limit() * QueuePerSlot)
+    return {Admission::Kind::Refused, Refusal::Full};
+  if (!canMeetDeadline(request, queue.size() + 1, now))
+    return {Admission::Kind::Refused, Refusal::DeadlineTooClose};
+  queue.push_back(request);
+  return {Admission::Kind::Queued, Refusal::None};
+}
+
+void Gate::answered(CallId id, TimePoint now) {
+  const auto it = calls.find(id);
+  assert(it != calls.end() &&
+         "a call is answered between its admission and its end");
+  it->second.latency = now - it->second.startedAt;
+}
+
+std::vector<QueueResult> Gate::finish(CallId id, GateOutcome outcome,
+                                      TimePoint now) {
+  const auto it = calls.find(id);
+  assert(it != calls.end() &&
+         "a call is finished once, and only after admission");
+  learn(it->second, outcome, now);
+  calls.erase(it);
+  return drainQueue(now);
+}
+
+void Gate::abandon(CallId id) {
+  std::erase_if(queue,
+                [&](const GateRequest &request) { return request.id == id; });
+}
+
+std::vector<QueueResult> Gate::expire(TimePoint now) {
+  std::vector<QueueResult> expired;
+  std::erase_if(queue, [&](const GateRequest &request) {
+    const Refusal refusal = reasonToRefuse(request, now);
+    if (refusal == Refusal::None)
+      return false;
+    expired.push_back({request.id, refusal});
+    return true;
+  });
+  return expired;
+}
+
+std::vector<std::uint64_t> Gate::fingerprintsInFlight() const {
+  std::vector<std::uint64_t> fingerprints;
+  std::ranges::transform(calls | std::views::values,
+                         std::back_inserter(fingerprints), &Call::fingerprint);
+  std::ranges::sort(fingerprints);
+  const auto [first, last] = std::ranges::unique(fingerprints);
+  fingerprints.erase(first, last);
+  return fingerprints;
+}
+
+Duration Gate::expectedLatency(TimePoint now) const {
+  const auto latencyOf = [&](const Call &call) {
+    return call.latency.value_or(now - call.startedAt);
+  };
+  Duration expected = gateLimit.latency();
+  for (const Call &call : calls | std::views::values)
+    expected = std::max(expected, latencyOf(call));
+  return expected;
+}
+
+Refusal Gate::reasonToRefuse(const GateRequest &request, TimePoint now) const {
+  if (closedFor != Refusal::None)
+    return closedFor;
+  if (currentTarget.state == TargetState::Leaving)
+    return Refusal::TargetLeaving;
+  if (currentTarget.state == TargetState::Absent)
+    return Refusal::NoTarget;
+  if (request.service != currentTarget.service)
+    return Refusal::WrongService;
+  if (!canMeetDeadline(request, 0, now))
+    return Refusal::DeadlineTooClose;
+  return Refusal::None;
+}
+
+bool Gate::canMeetDeadline(const GateRequest &request, std::size_t waiting,
+                           TimePoint now) const {
+  const auto turns = static_cast<Duration::rep>(waiting);
+  const auto width = static_cast<Duration::rep>(std::max(1U, limit()));
+  const Duration wait = gateLimit.latency() * turns / width;
+  return now + wait < request.deadline;
+}
+
+void Gate::start(const GateRequest &request, TimePoint now) {
+  calls.emplace(request.id, Call{now, request.fingerprint, currentTarget.bootId,
+                                 std::nullopt});
+  peak = std::max(peak, inFlight());
+}
+
+std::vector<QueueResult> Gate::drainQueue(TimePoint now) {
+  std::vector<QueueResult> results = expire(now);
+  while (!queue.empty() && inFlight() < limit()) {
+    const GateRequest request = std::move(queue.front());
+    queue.pop_front();
+    start(request, now);
+    results.push_back({request.id, Refusal::None});
+  }
+  return results;
+}
+
+void Gate::learn(const Call &call, GateOutcome outcome, TimePoint now) {
+  if (call.bootId != currentTarget.bootId)
+    return;
+  switch (outcome) {
+  case GateOutcome::Completed:
+    gateLimit.onCompleted(call.latency.value_or(now - call.startedAt),
+                          inFlight());
+    break;
+  case GateOutcome::TimedOut:
+    gateLimit.onTimedOut(now - call.startedAt);
+    break;
+  case GateOutcome::Shed:
+    gateLimit.onShed();
+    break;
+  case GateOutcome::Failed:
+  case GateOutcome::NotConnected:
+    gateLimit.onFailed();
+    break;
+  case GateOutcome::Cancelled:
+    break;
+  }
+  if (currentTarget.isServing())
+    currentTarget.state = isCold() ? TargetState::Cold : TargetState::Warm;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/process/GateLimit.cpp
@@ -0,0 +1,123 @@
+#include "process/GateLimit.h"
+
+#include <algorithm>
+
+namespace plantainhatch {
+
+namespace {
+
+/** Weights of exponentially weighted averages, as 1/N. */
+constexpr int SmoothedWeight = 8;
+constexpr int UsualFallWeight = 64;
+/** What is usual rises slowly, or a cold target would soon look as if it had
+ * recovered. */
+constexpr int UsualRiseWeight = 512;
+constexpr unsigned ShedNumerator = 7;
+constexpr unsigned ShedDenominator = 10;
+
+Duration average(Duration old, Duration sample, int weight) {
+  return old == Duration{} ? sample : old + (sample - old) / weight;
+}
+
+} // namespace
+
+const char *toString(LimitCut cut) {
+  switch (cut) {
+  case LimitCut::None:
+    return "none";
+  case LimitCut::NewStart:
+    return "new-start";
+  case LimitCut::Failure:
+    return "failure";
+  case LimitCut::Shed:
+    return "shed";
+  case LimitCut::LatencyStep:
+    return "latency-step";
+  }
+  return "none";
+}
+
+void GateLimit::start(unsigned newColdSlots, unsigned newSlots) {
+  slots = newSlots;
+  coldSlots = newColdSlots;
+  smoothed = Duration{};
+  cutTo(coldSlots, LimitCut::NewStart);
+}
+
+void GateLimit::onCompleted(Duration latency, unsigned inFlight) {
+  timeoutStreak = 0;
+  if (isLatencyStep(latency)) {
+    cutTo(coldSlots, LimitCut::LatencyStep);
+    smoothed = latency;
+    return;
+  }
+  learn(latency);
+  grow(inFlight);
+}
+
+void GateLimit::onFailed() { cutTo(coldSlots, LimitCut::Failure); }
+
+void GateLimit::onTimedOut(Duration waited) {
+  if (waited <= usual * SlowFactor)
+    return;
+  if (++timeoutStreak >= TimeoutStreak)
+    cutTo(coldSlots, LimitCut::Failure);
+}
+
+void GateLimit::onShed() {
+  const unsigned reduced = current * ShedNumerator / ShedDenominator;
+  cutTo(std::max(coldSlots, reduced), LimitCut::Shed);
+}
+
+LimitCut GateLimit::takeCut() {
+  const LimitCut cut = lastCut;
+  lastCut = LimitCut::None;
+  return cut;
+}
+
+void GateLimit::cutTo(unsigned limit, LimitCut cut) {
+  completions = 0;
+  slowStreak = timeoutStreak = 0;
+  // A target that is at its lowest limit already has nothing to lose, and no
+  // news to tell.
+  if (current == limit && cold && cut != LimitCut::NewStart)
+    return;
+  current = limit;
+  cold = current < slots;
+  lastCut = cut;
+}
+
+bool GateLimit::isLatencyStep(Duration latency) {
+  const bool isSlow = usual != Duration{} && latency > usual * SlowFactor &&
+                      latency > usual + MinSlowStep;
+  slowStreak = isSlow ? slowStreak + 1 : 0;
+  return slowStreak >= SlowStreak;
+}
+
+void GateLimit::learn(Duration latency) {
+  smoothed = average(smoothed, latency, SmoothedWeight);
+  usual = average(usual, latency,
+                  latency > usual ? UsualRiseWeight : UsualFallWeight);
+}
+
+bool GateLimit::isRecovered() const {
+  return smoothed <= usual * RecoveredFactor || smoothed <= usual + MinSlowStep;
+}
+
+void GateLimit::grow(unsigned inFlight) {
+  if (current >= slots) {
+    cold = false;
+    return;
+  }
+  // Completions count only while the limit is used: an idle target proves
+  // nothing.
+  if (inFlight < current || !isRecovered())
+    return;
+  if (++completions < current * CompletionsPerSlot)
+    return;
+  completions = 0;
+  ++current;
+  cold = current < slots;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/process/Membership.cpp
@@ -0,0 +1,393 @@
+#include "process/Membership.h"
+
+#include "base/Digest.h"
+
+#include <algorithm>
+#include <cmath>
+#include <ranges>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr unsigned MaxLocalHealth = 8;
+constexpr double SuspicionFactor = 5.0;
+/** Leaves room for the header and the digest below the smallest MTU that is in
+ * use. */
+constexpr std::size_t MaxUpdateBytes = 1000;
+constexpr std::size_t MemberFixedBytes = 120;
+constexpr std::size_t VerdictBytes = 48;
+constexpr std::chrono::seconds RelayLifetime{2};
+constexpr std::size_t AttemptsPerPick = 4;
+
+std::size_t bucketOf(const Address &address) {
+  return stableHash(address.toString()) % std::tuple_size_v<BucketDigests>;
+}
+
+std::uint64_t digestOfMember(const Member &member) {
+  return stableHash(member.peers.toString() + "/" +
+                    std::to_string(member.generation) + "/" +
+                    std::to_string(member.incarnation) + "/" +
+                    std::string(toString(member.liveness)));
+}
+
+std::size_t encodedSize(const Member &member) {
+  return MemberFixedBytes + member.peers.host.size() +
+         member.callers.host.size() + member.failureDomain.size() +
+         member.target.service.size() + member.target.address.host.size() +
+         member.target.bootId.size() + member.target.loadPath.size();
+}
+
+} // namespace
+
+Membership::Membership(Member self, std::uint64_t seed)
+    : selfMember(std::move(self)), random(seed) {
+  announceSelf();
+}
+
+std::vector<Outgoing> Membership::tick(TimePoint now) {
+  std::vector<Outgoing> out;
+  if (lastTick != TimePoint{} && now - lastTick > PauseThreshold)
+    notePause(now);
+  lastTick = now;
+  continueProbe(now, out);
+  startProbe(now, out);
+  probeDead(now, out);
+  gossip(now, out);
+  expireSuspicions(now);
+  expireTombstones(now);
+  expireRelays(now);
+  return out;
+}
+
+void Membership::notePause(TimePoint now) {
+  pauseSeen = true;
+  probe.reset();
+  relays.clear();
+  localHealth = MaxLocalHealth;
+  lastHeardAt = now;
+  const Duration gap = now - lastTick;
+  for (auto &deadline : suspicionDeadlines | std::views::values)
+    deadline += gap;
+}
+
+void Membership::continueProbe(TimePoint now, std::vector<Outgoing> &out) {
+  if (!probe)
+    return;
+  if (!probe->isIndirectSent && now - probe->sentAt >= scaled(ProbeTimeout)) {
+    probe->isIndirectSent = true;
+    for (const Address &helper :
+         pickRandomPeers(IndirectProbes, probe->subject))
+      out.push_back({helper, PingRequest{probe->sequence, probe->subject}});
+  }
+  if (now - probe->sentAt < scaled(ProbeInterval))
+    return;
+  const Address subject = probe->subject;
+  probe.reset();
+  localHealth = std::min(localHealth + 1, MaxLocalHealth);
+  const auto it = members.find(subject);
+  if (it == members.end() || it->second.liveness != Liveness::Alive)
+    return;
+  Member suspected = it->second;
+  suspected.liveness = Liveness::Suspect;
+  store(std::move(suspected), now);
+}
+
+void Membership::startProbe(TimePoint now, std::vector<Outgoing> &out) {
+  if (probe || now < nextProbeAt || present.empty())
+    return;
+  nextProbeAt = now + ProbeInterval;
+  if (probePosition >= present.size()) {
+    std::ranges::shuffle(present, random);
+    probePosition = 0;
+  }
+  probe = Probe{present[probePosition++], nextSequence++, now, false};
+  out.push_back({probe->subject, Ping{probe->sequence}});
+}
+
+void Membership::probeDead(TimePoint now, std::vector<Outgoing> &out) {
+  if (now < nextDeadProbeAt || tombstones.empty())
+    return;
+  nextDeadProbeAt = now + DeadProbeInterval;
+  std::uniform_int_distribution<std::size_t> pick(0, tombstones.size() - 1);
+  const auto it =
+      std::next(tombstones.begin(), static_cast<std::ptrdiff_t>(pick(random)));
+  if (members.at(it->first).liveness == Liveness::Dead)
+    out.push_back({it->first, Ping{nextSequence++}});
+}
+
+void Membership::gossip(TimePoint now, std::vector<Outgoing> &out) {
+  if (now < nextGossipAt || news.isEmpty())
+    return;
+  nextGossipAt = now + GossipInterval;
+  std::ranges::move(makeNotices(), std::back_inserter(out));
+}
+
+std::vector<Outgoing> Membership::makeNotices() {
+  std::vector<Outgoing> out;
+  for (const Address &peer : pickRandomPeers(GossipFanout, {}))
+    out.push_back({peer, Notice{}});
+  return out;
+}
+
+void Membership::expireSuspicions(TimePoint now) {
+  std::vector<Address> expired;
+  for (const auto &[address, deadline] : suspicionDeadlines)
+    if (now >= deadline)
+      expired.push_back(address);
+  for (const Address &address : expired) {
+    Member dead = members.at(address);
+    dead.liveness = Liveness::Dead;
+    store(std::move(dead), now);
+  }
+}
+
+void Membership::expireTombstones(TimePoint now) {
+  std::erase_if(tombstones, [&](const auto &entry) {
+    if (now - entry.second < TombstoneLifetime)
+      return false;
+    members.erase(entry.first);
+    return true;
+  });
+}
+
+void Membership::expireRelays(TimePoint now) {
+  std::erase_if(relays, [&](const auto &entry) {
+    return now - entry.second.sentAt >= RelayLifetime;
+  });
+}
+
+std::vector<Outgoing> Membership::receive(const Message &message,
+                                          TimePoint now) {
+  std::vector<Outgoing> out;
+  lastHeardAt = now;
+  for (const Member &member : message.members)
+    mergeMember(member, now);
+  for (const Verdict &verdict : message.verdicts)
+    mergeVerdict(verdict, now);
+  if (const auto *const ping = std::get_if<Ping>(&message.body))
+    out.push_back({message.header.sender, Ack{ping->sequence}});
+  else if (const auto *const ack = std::get_if<Ack>(&message.body))
+    onAck(*ack, now, out);
+  else if (const auto *const request = std::get_if<PingRequest>(&message.body))
+    onPingRequest(*request, message.header.sender, now, out);
+  return out;
+}
+
+void Membership::onAck(const Ack &ack, TimePoint now,
+                       std::vector<Outgoing> &out) {
+  if (probe && probe->sequence == ack.sequence) {
+    if (now - probe->sentAt < scaled(ProbeTimeout) && localHealth > 0)
+      --localHealth;
+    probe.reset();
+    return;
+  }
+  const auto it = relays.find(ack.sequence);
+  if (it == relays.end())
+    return;
+  out.push_back({it->second.requester, Ack{it->second.requesterSequence}});
+  relays.erase(it);
+}
+
+void Membership::onPingRequest(const PingRequest &request,
+                               const Address &sender, TimePoint now,
+                               std::vector<Outgoing> &out) {
+  const std::uint64_t sequence = nextSequence++;
+  relays[sequence] = Relay{sender, request.sequence, now};
+  out.push_back({request.subject, Ping{sequence}});
+}
+
+void Membership::addUpdates(Message &message, const Address &receiver) {
+  std::size_t room = MaxUpdateBytes;
+  // A receiver that is believed to be gone learns of it here, and can refute.
+  const auto doubted = members.find(receiver);
+  if (doubted != members.end() && doubted->second.liveness != Liveness::Alive) {
+    const Member &it = doubted->second;
+    message.verdicts.push_back(
+        {it.peers, it.generation, it.incarnation, it.liveness});
+    room -= VerdictBytes;
+  }
+  news.drain(presentCount(), [&](const Address &address) {
+    const Member *const member = find(address);
+    if (member == nullptr)
+      return true;
+    const bool isAlive = member->liveness == Liveness::Alive;
+    const std::size_t n =
+        isAlive ? encodedSize(*member) : VerdictBytes + address.host.size();
+    if (n > room)
+      return false;
+    room -= n;
+    if (isAlive)
+      message.members.push_back(*member);
+    else
+      message.verdicts.push_back({member->peers, member->generation,
+                                  member->incarnation, member->liveness});
+    return true;
+  });
+}
+
+void Membership::setTarget(const Target &target) {
+  if (selfMember.target == target)
+    return;
+  selfMember.target = target;
+  ++selfMember.incarnation;
+  announceSelf();
+}
+
+void Membership::leave() {
+  selfMember.liveness = Liveness::Left;
+  ++selfMember.incarnation;
+  announceSelf();
+}
+
+void Membership::merge(const std::vector<Member> &records, TimePoint now) {
+  for (const Member &member : records)
+    mergeMember(member, now);
+}
+
+void Membership::mergeMember(const Member &member, TimePoint now) {
+  if (member.peers == selfMember.peers) {
+    if (member.rank() > selfMember.rank())
+      refute(member.generation, member.incarnation);
+    return;
+  }
+  const auto it = members.find(member.peers);
+  if (it == members.end() || member.rank() > it->second.rank())
+    store(member, now);
+}
+
+void Membership::mergeVerdict(const Verdict &verdict, TimePoint now) {
+  if (verdict.peers == selfMember.peers) {
+    if (verdict.rank() > selfMember.rank())
+      refute(verdict.generation, verdict.incarnation);
+    return;
+  }
+  const auto it = members.find(verdict.peers);
+  if (it == members.end() || verdict.rank() <= it->second.rank() ||
+      verdict.generation != it->second.generation)
+    return;
+  Member judged = it->second;
+  judged.incarnation = verdict.incarnation;
+  judged.liveness = verdict.liveness;
+  store(std::move(judged), now);
+}
+
+void Membership::store(Member member, TimePoint now) {
+  const Address address = member.peers;
+  MemberChange change{std::nullopt, member};
+  if (const auto it = members.find(address); it != members.end())
+    change.before = it->second;
+  members[address] = std::move(member);
+  updatePresence(change.after);
+  updateDeadlines(change.after, now);
+  news.enqueue(address);
+  changes.push_back(std::move(change));
+}
+
+void Membership::refute(std::uint64_t generation, std::uint64_t incarnation) {
+  if (selfMember.liveness == Liveness::Left)
+    return;
+  // A higher generation at this address is a former process whose VM had a
+  // clock that was ahead.
+  if (generation > selfMember.generation)
+    selfMember.generation = generation + 1;
+  selfMember.incarnation = std::max(selfMember.incarnation, incarnation) + 1;
+  localHealth = std::min(localHealth + 1, MaxLocalHealth);
+  announceSelf();
+}
+
+void Membership::announceSelf() { news.enqueue(selfMember.peers); }
+
+void Membership::updatePresence(const Member &member) {
+  const auto it = std::ranges::find(present, member.peers);
+  const bool isListed = it != present.end();
+  if (member.isPresent() && !isListed) {
+    std::uniform_int_distribution<std::size_t> place(0, present.size());
+    present.insert(present.begin() + static_cast<std::ptrdiff_t>(place(random)),
+                   member.peers);
+  }
+  if (!member.isPresent() && isListed)
+    present.erase(it);
+}
+
+void Membership::updateDeadlines(const Member &member, TimePoint now) {
+  if (member.liveness == Liveness::Suspect)
+    suspicionDeadlines.try_emplace(member.peers, now + suspicionTimeout());
+  else
+    suspicionDeadlines.erase(member.peers);
+  if (member.isPresent())
+    tombstones.erase(member.peers);
+  else
+    tombstones.try_emplace(member.peers, now);
+}
+
+std::optional<Address> Membership::pickRandomPeer() {
+  const auto peers = pickRandomPeers(1, {});
+  return peers.empty() ? std::nullopt : std::optional(peers.front());
+}
+
+std::vector<Address> Membership::pickRandomPeers(std::size_t count,
+                                                 const Address &except) {
+  std::vector<Address> picked;
+  if (present.empty())
+    return picked;
+  std::uniform_int_distribution<std::size_t> pick(0, present.size() - 1);
+  for (std::size_t attempt = 0; attempt < AttemptsPerPick * count; ++attempt) {
+    const Address &peer = present[pick(random)];
+    if (peer != except && std::ranges::find(picked, peer) == picked.end())
+      picked.push_back(peer);
+    if (picked.size() == count)
+      break;
+  }
+  return picked;
+}
+
+BucketDigests Membership::digests() const {
+  BucketDigests digests{};
+  for (const Member &member : members | std::views::values)
+    digests[bucketOf(member.peers)] ^= digestOfMember(member);
+  digests[bucketOf(selfMember.peers)] ^= digestOfMember(selfMember);
+  return digests;
+}
+
+std::vector<Member>
+Membership::membersThatDiffer(const BucketDigests &remote) const {
+  const BucketDigests local = digests();
+  const auto differs = [&](const Member &member) {
+    const std::size_t n = bucketOf(member.peers);
+    return local[n] != remote[n];
+  };
+  std::vector<Member> differing;
+  std::ranges::copy_if(members | std::views::values,
+                       std::back_inserter(differing), differs);
+  if (differs(selfMember))
+    differing.push_back(selfMember);
+  return differing;
+}
+
+std::vector<MemberChange> Membership::takeChanges() {
+  return std::exchange(changes, {});
+}
+
+const Member *Membership::find(const Address &peers) const {
+  if (peers == selfMember.peers)
+    return &selfMember;
+  const auto it = members.find(peers);
+  return it == members.end() ? nullptr : &it->second;
+}
+
+bool Membership::isIsolated(TimePoint now) const {
+  return present.empty() || now - lastHeardAt > 2 * ProbeInterval;
+}
+
+Duration Membership::scaled(Duration duration) const {
+  return duration * (localHealth + 1);
+}
+
+Duration Membership::suspicionTimeout() const {
+  const double size = static_cast<double>(presentCount());
+  const double factor = SuspicionFactor * std::max(1.0, std::log10(size));
+  return scaled(std::chrono::duration_cast<Duration>(ProbeInterval * factor));
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/process/Message.h
@@ -0,0 +1,139 @@
+/** \file
+ * The datagrams between nodes, as typed values. */
+#ifndef PLANTAINHATCH_PROCESS_MESSAGE_H
+#define PLANTAINHATCH_PROCESS_MESSAGE_H
+
+#include "base/HybridClock.h"
+#include "process/BoundedSerialization.h"
+#include "process/Member.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace plantainhatch {
+
+/** Asks the receiver for an Ack. */
+struct Ping {
+  std::uint64_t sequence = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(sequence);
+  }
+};
+
+/** Answers a Ping, or reports to the sender of a PingRequest that its subject
+ * has answered. */
+struct Ack {
+  std::uint64_t sequence = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(sequence);
+  }
+};
+
+/** Asks the receiver to ping the subject on the sender's behalf. */
+struct PingRequest {
+  std::uint64_t sequence = 0;
+  Address subject;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(sequence, subject);
+  }
+};
+
+/** Carries a header and updates only; not answered. */
+struct Notice {
+  template <typename Archive> void serialize(Archive & /*archive*/) {}
+};
+
+/** Asks for the load of the receiver's target. */
+struct LoadProbe {
+  std::uint64_t sequence = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(sequence);
+  }
+};
+
+/** The load of a node's target, as its gate knows it. */
+struct LoadReport {
+  std::uint64_t sequence = 0;
+  std::uint16_t inFlight = 0;
+  std::uint16_t limit = 0;
+  std::uint32_t latencyUs = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(sequence, inFlight, limit, latencyUs);
+  }
+};
+
+/** A target died with requests of these fingerprints in flight. Answered by a
+ * CrashAck. */
+struct CrashReport {
+  std::uint64_t sequence = 0;
+  /** The peers address of the node beside the target. */
+  Address target;
+  std::string bootId;
+  std::vector<std::uint64_t> fingerprints;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(sequence, target, bootId, fingerprints);
+  }
+};
+
+/** Answers a CrashReport. */
+struct CrashAck {
+  std::uint64_t sequence = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(sequence);
+  }
+};
+
+/** A request with this fingerprint was answered in full, so it is not what
+ * killed a target. */
+struct CrashCleared {
+  std::uint64_t fingerprint = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(fingerprint);
+  }
+};
+
+/** The body of a datagram. */
+using MessageBody =
+    std::variant<Ping, Ack, PingRequest, Notice, LoadProbe, LoadReport,
+                 CrashReport, CrashAck, CrashCleared>;
+
+/** What precedes each body. */
+struct MessageHeader {
+  static constexpr std::uint8_t CurrentProtocol = 1;
+
+  std::uint8_t protocol = CurrentProtocol;
+  std::string cluster;
+  Address sender;
+  std::uint64_t generation = 0;
+  HybridTime time;
+  /** The configuration version that is in force at the sender. */
+  std::uint64_t configurationVersion = 0;
+
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(protocol, cluster, sender, generation, time, configurationVersion);
+  }
+};
+
+/** A whole datagram. */
+struct Message {
+  MessageHeader header;
+  MessageBody body;
+  std::vector<Member> members;
+  std::vector<Verdict> verdicts;
+
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(header, body, members, verdicts);
+  }
+};
+
+/** A body on its way to a node. */
+struct Outgoing {
+  Address receiver;
+  MessageBody body;
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/process/Metrics.cpp
@@ -0,0 +1,112 @@
+#include "process/Metrics.h"
+
+#include <iterator>
+#include <numeric>
+#include <ranges>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr unsigned Bins = 120;
+constexpr double LowestSeconds = 1e-5;
+constexpr double HighestSeconds = 60.0;
+const std::string Prefix = "plantainhatch_";
+
+double toSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+std::string withLabels(const std::string &name, const std::string &labels) {
+  return labels.empty() ? name : name + "{" + labels + "}";
+}
+
+std::string joined(const std::string &labels, const std::string &label) {
+  return labels.empty() ? label : labels + "," + label;
+}
+
+} // namespace
+
+LatencyHistogram::LatencyHistogram()
+    : histogram(boost::histogram::make_histogram_with(
+          Storage(), Axis(Bins, LowestSeconds, HighestSeconds, "seconds"))) {}
+
+void LatencyHistogram::record(Duration duration) {
+  const double seconds = toSeconds(duration);
+  histogram(seconds);
+  ++total;
+  sumSeconds += seconds;
+}
+
+Duration LatencyHistogram::quantile(double quantile) const {
+  if (total == 0)
+    return {};
+  const double wanted = quantile * static_cast<double>(total);
+  double seen = 0;
+  for (auto &&cell :
+       boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
+    seen += static_cast<double>(*cell);
+    if (seen >= wanted)
+      return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          std::min(cell.bin().upper(), HighestSeconds)));
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(HighestSeconds));
+}
+
+void LatencyHistogram::print(const std::string &name, const std::string &labels,
+                             std::string &text) const {
+  double seen = 0;
+  for (auto &&cell :
+       boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
+    const auto n = static_cast<double>(*cell);
+    if (n == 0)
+      continue;
+    seen += n;
+    text +=
+        withLabels(name + "_bucket",
+                   joined(labels, "le=\"" + std::to_string(cell.bin().upper()) +
+                                      "\"")) +
+        " " + std::to_string(static_cast<std::uint64_t>(seen)) + "\n";
+  }
+  text += withLabels(name + "_bucket", joined(labels, "le=\"+Inf\"")) + " " +
+          std::to_string(total) + "\n";
+  text += withLabels(name + "_sum", labels) + " " + std::to_string(sumSeconds) +
+          "\n";
+  text +=
+      withLabels(name + "_count", labels) + " " + std::to_string(total) + "\n";
+}
+
+void Metrics::add(const std::string &name, const std::string &labels,
+                  std::uint64_t n) {
+  counters[name][labels] += n;
+}
+
+std::uint64_t Metrics::total(const std::string &name) const {
+  const auto it = counters.find(name);
+  if (it == counters.end())
+    return 0;
+  const auto values = it->second | std::views::values | std::views::common;
+  return std::accumulate(values.begin(), values.end(), std::uint64_t{0});
+}
+
+std::string Metrics::print() const {
+  std::string text;
+  for (const auto &[name, values] : counters) {
+    text += "# TYPE " + Prefix + name + " counter\n";
+    for (const auto &[labels, value] : values)
+      text += withLabels(Prefix + name, labels) + " " + std::to_string(value) +
+              "\n";
+  }
+  for (const auto &[name, value] : gauges) {
+    text += "# TYPE " + Prefix + name + " gauge\n";
+    text += Prefix + name + " " + std::to_string(value) + "\n";
+  }
+  for (const auto &[name, histogram] : histograms) {
+    text += "# TYPE " + Prefix + name + " histogram\n";
+    histogram.print(Prefix + name, {}, text);
+  }
+  return text;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/request/CallDecision.cpp
@@ -0,0 +1,91 @@
+#include "request/CallDecision.h"
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr unsigned BadGateway = 502;
+constexpr unsigned ServiceUnavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+
+} // namespace
+
+CallDecision::CallDecision(bool isIdempotent, TimePoint deadline,
+                           RetryBudget &budget)
+    : isIdempotent(isIdempotent), deadline(deadline), budget(budget) {}
+
+CallAction CallDecision::start() {
+  budget.onCall();
+  return ForwardAction{false};
+}
+
+void CallDecision::onForwarded(const Address &target) {
+  triedTargets.insert(target);
+  pending.insert(target);
+}
+
+CallAction CallDecision::onNoChoice() {
+  if (!pending.empty())
+    return WaitAction{};
+  // All targets that refused were full: the call may wait for one of them.
+  const bool wasFull = lastRefusal == Refusal::Full && refusals > 0;
+  if (wasFull && !hasStartedOver && !hasFailed) {
+    hasStartedOver = true;
+    triedTargets.clear();
+    return ForwardAction{true};
+  }
+  return refuse();
+}
+
+CallAction CallDecision::onRefused(const Address &target, Refusal refusal,
+                                   TimePoint now) {
+  pending.erase(target);
+  ++refusals;
+  lastRefusal = refusal;
+  if (!pending.empty())
+    return WaitAction{};
+  if (now >= deadline)
+    return onDeadline();
+  if (refusals >= MaxRefusals || refusal == Refusal::Quarantined)
+    return refuse();
+  return ForwardAction{refusals >= RefusalsBeforeQueue};
+}
+
+CallAction CallDecision::onFailed(const Address &target, bool didTargetDie,
+                                  TimePoint now) {
+  pending.erase(target);
+  hasFailed = true;
+  ++failures;
+  if (!pending.empty())
+    return WaitAction{};
+  if (now >= deadline)
+    return onDeadline();
+  // A call that was in flight at a target's death may be the cause of it. It is
+  // tried on one other target, and the quarantine decides on the rest.
+  const unsigned allowed = didTargetDie ? MaxFailures - 1 : MaxFailures;
+  if (isIdempotent && failures <= allowed && budget.trySpend(now))
+    return ForwardAction{true};
+  return AnswerAction{BadGateway, Outcome::Unknown, "attempt-failed",
+                      std::nullopt};
+}
+
+CallAction CallDecision::onHedge(TimePoint now) {
+  if (!isIdempotent || hasHedged || pending.size() != 1 || now >= deadline)
+    return WaitAction{};
+  hasHedged = true;
+  if (!budget.trySpend(now))
+    return WaitAction{};
+  return ForwardAction{false};
+}
+
+CallAction CallDecision::onDeadline() {
+  return AnswerAction{GatewayTimeout, outcome(), "deadline", std::nullopt};
+}
+
+AnswerAction CallDecision::refuse() const {
+  const unsigned status = hasFailed ? BadGateway : ServiceUnavailable;
+  return AnswerAction{status, outcome(), std::string(toString(lastRefusal)),
+                      RetryAfter};
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/request/Choice.h
@@ -0,0 +1,30 @@
+/** \file
+ * One target that a call may be forwarded to. */
+#ifndef PLANTAINHATCH_REQUEST_CHOICE_H
+#define PLANTAINHATCH_REQUEST_CHOICE_H
+
+#include "base/Address.h"
+#include "process/LoadTable.h"
+
+namespace plantainhatch {
+
+/** A candidate at the moment of a pick. */
+struct Choice {
+  /** The node beside the target. */
+  Address peers;
+  /** Where that node takes forwarded calls. */
+  Address callers;
+  bool isLocalNode = false;
+  bool isLocalDomain = false;
+  bool isSuspect = false;
+  LoadEstimate load;
+
+  /** The share of its limit that is in use; 1 if it has no limit. */
+  double utilization() const {
+    return load.limit > 0 ? load.inFlight / load.limit : 1.0;
+  }
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/request/HotColdPolicy.cpp
@@ -0,0 +1,119 @@
+#include "request/HotColdPolicy.h"
+
+#include <algorithm>
+#include <iterator>
+#include <numeric>
+
+namespace plantainhatch {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr Seconds LeastLatency{0.0001};
+
+/** Latencies of targets that were not heard lately say nothing; they count as
+ * the mean of others, so that each gets a call now and then and shows whether
+ * it has recovered. */
+bool hasFreshLatency(const Choice &choice) {
+  return choice.load.age < LoadTable::MaxReportAge &&
+         choice.load.latency > Duration{};
+}
+
+Seconds meanLatency(std::span<const Choice> choices,
+                    const std::vector<std::size_t> &indices) {
+  Seconds sum{0};
+  std::size_t n = 0;
+  for (const std::size_t it : indices) {
+    if (!hasFreshLatency(choices[it]))
+      continue;
+    sum += choices[it].load.latency;
+    ++n;
+  }
+  return n == 0 ? LeastLatency : sum / static_cast<double>(n);
+}
+
+Seconds hopCost(const Choice &choice) {
+  if (choice.isLocalNode)
+    return Seconds{0};
+  if (choice.isLocalDomain)
+    return HotColdPolicy::HopCost;
+  return HotColdPolicy::DomainCost;
+}
+
+/** When a call sent there would end: its latency, stretched by the room that is
+ * taken. */
+Seconds expectedEnd(const Choice &choice, Seconds mean) {
+  const Seconds known =
+      hasFreshLatency(choice) ? Seconds(choice.load.latency) : mean;
+  const Seconds latency = std::max(known, LeastLatency);
+  return latency * (1.0 + choice.utilization()) + hopCost(choice);
+}
+
+} // namespace
+
+std::size_t HotColdPolicy::pick(std::span<const Choice> choices,
+                                std::mt19937_64 &random) {
+  const Indices healthy =
+      withoutFailing(choices, sample(choices, random), random);
+  const Indices roomy = withRoom(choices, healthy);
+  if (roomy.empty())
+    return leastUtilized(choices, healthy);
+  return fastest(choices, roomy);
+}
+
+HotColdPolicy::Indices HotColdPolicy::sample(std::span<const Choice> choices,
+                                             std::mt19937_64 &random) {
+  Indices all(choices.size());
+  std::iota(all.begin(), all.end(), std::size_t{0});
+  std::ranges::shuffle(all, random);
+  // The own failure domain stays in the sample, or a large service would rarely
+  // be served there.
+  if (all.size() > MaxCompared) {
+    std::ranges::stable_partition(
+        all, [&](std::size_t it) { return choices[it].isLocalDomain; });
+    all.resize(MaxCompared);
+  }
+  return all;
+}
+
+HotColdPolicy::Indices
+HotColdPolicy::withoutFailing(std::span<const Choice> choices, Indices indices,
+                              std::mt19937_64 &random) {
+  Indices healthy;
+  std::ranges::copy_if(indices, std::back_inserter(healthy),
+                       [&](std::size_t it) {
+                         return choices[it].load.failures < MaxFailures &&
+                                !choices[it].isSuspect;
+                       });
+  const bool isTrickle =
+      std::uniform_int_distribution<unsigned>(0, TrickleEvery - 1)(random) == 0;
+  if (isTrickle || healthy.size() * 2 < indices.size())
+    return indices;
+  return healthy;
+}
+
+HotColdPolicy::Indices HotColdPolicy::withRoom(std::span<const Choice> choices,
+                                               const Indices &indices) {
+  Indices roomy;
+  std::ranges::copy_if(indices, std::back_inserter(roomy), [&](std::size_t it) {
+    return choices[it].utilization() < HotUtilization;
+  });
+  return roomy;
+}
+
+std::size_t HotColdPolicy::fastest(std::span<const Choice> choices,
+                                   const Indices &indices) {
+  const Seconds mean = meanLatency(choices, indices);
+  return std::ranges::min(indices, {}, [&](std::size_t it) {
+    return expectedEnd(choices[it], mean);
+  });
+}
+
+std::size_t HotColdPolicy::leastUtilized(std::span<const Choice> choices,
+                                         const Indices &indices) {
+  return std::ranges::min(
+      indices, {}, [&](std::size_t it) { return choices[it].utilization(); });
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/request/RandomPolicy.h
@@ -0,0 +1,25 @@
+/** \file
+ * A baseline: any target, with equal chances. */
+#ifndef PLANTAINHATCH_REQUEST_RANDOMPOLICY_H
+#define PLANTAINHATCH_REQUEST_RANDOMPOLICY_H
+
+#include "request/Choice.h"
+
+#include <random>
+#include <span>
+
+namespace plantainhatch {
+
+/** Picks at random. */
+class RandomPolicy {
+public:
+  /** \pre \p choices is not empty. */
+  std::size_t pick(std::span<const Choice> choices, std::mt19937_64 &random) {
+    return std::uniform_int_distribution<std::size_t>(0, choices.size() -
+                                                             1)(random);
+  }
+};
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/request/makeChoices.cpp
@@ -0,0 +1,48 @@
+#include "request/makeChoices.h"
+
+namespace plantainhatch {
+
+namespace {
+
+bool isTakenOut(const Configuration &configuration, const Member &member) {
+  return configuration.findDomainOut(member.failureDomain) != nullptr ||
+         configuration.findVmOut(member.callers) != nullptr ||
+         configuration.findVmOut(member.peers) != nullptr ||
+         configuration.findVmOut(member.target.address) != nullptr;
+}
+
+/** What stands for the limit of a target whose gate was never heard. */
+unsigned assumedLimit(const Target &target) {
+  return target.state == TargetState::Cold ? target.coldSlots : target.slots;
+}
+
+Choice toChoice(const FleetView &view, const Member &member, TimePoint now) {
+  const Member &self = view.membership.self();
+  Choice choice;
+  choice.peers = member.peers;
+  choice.callers = member.callers;
+  choice.isLocalNode = member.peers == self.peers;
+  choice.isLocalDomain = member.failureDomain == self.failureDomain;
+  choice.isSuspect = member.liveness == Liveness::Suspect;
+  choice.load =
+      view.loads.estimate(member.peers, assumedLimit(member.target), now);
+  return choice;
+}
+
+} // namespace
+
+std::vector<Choice> makeChoices(const FleetView &view,
+                                const std::string &service,
+                                const std::set<Address> &tried, TimePoint now) {
+  std::vector<Choice> choices;
+  for (const Address &address : view.index.candidatesOf(service)) {
+    const Member *const member = view.membership.find(address);
+    if (member == nullptr || tried.contains(address) ||
+        isTakenOut(view.configuration, *member))
+      continue;
+    choices.push_back(toChoice(view, *member, now));
+  }
+  return choices;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/version/Rule.h
@@ -0,0 +1,69 @@
+/** \file
+ * The rules of a configuration, as values. */
+#ifndef PLANTAINHATCH_VERSION_RULE_H
+#define PLANTAINHATCH_VERSION_RULE_H
+
+#include "base/Address.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace plantainhatch {
+
+/** What every rule has. */
+struct RuleOrigin {
+  /** The line in the rules file, counted from 1. */
+  std::size_t line = 0;
+  /** Who asked for the rule, from its comment. */
+  std::string author;
+};
+
+/** Which calls belong to a service, and how they may be run. */
+struct ServiceRule {
+  static constexpr std::chrono::milliseconds DefaultTimeout{10'000};
+
+  RuleOrigin origin;
+  std::string name;
+  std::string pathPrefix;
+  /** No call of the service is idempotent, whatever its method. */
+  bool isOnce = false;
+  /** The header that carries the idempotency key; empty if the rule names none.
+   */
+  std::string keyHeader;
+  std::chrono::milliseconds timeout = DefaultTimeout;
+
+  /** True if calls are recorded in the platform's table before they run. */
+  bool needsClaim() const { return isOnce && !keyHeader.empty(); }
+};
+
+/** A failure domain that receives no new work. */
+struct DomainRule {
+  RuleOrigin origin;
+  std::string name;
+};
+
+/** A VM that receives no new work, by its IP number, or by IP and port where
+ * several nodes share one number. */
+struct VmRule {
+  RuleOrigin origin;
+  std::string address;
+};
+
+/** What each VM may spend on measuring load. */
+struct MeasureRule {
+  static constexpr std::uint32_t DefaultMessagesPerSecond = 50;
+  static constexpr std::uint32_t DefaultBytesPerSecond = 8192;
+
+  RuleOrigin origin;
+  std::uint32_t messagesPerSecond = DefaultMessagesPerSecond;
+  std::uint32_t bytesPerSecond = DefaultBytesPerSecond;
+};
+
+/** Any rule. */
+using Rule = std::variant<ServiceRule, DomainRule, VmRule, MeasureRule>;
+
+} // namespace plantainhatch
+
+#endif
--- /dev/null
+++ b/src/version/RuleLineParser.cpp
@@ -0,0 +1,263 @@
+#include "version/RuleLineParser.h"
+
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace plantainhatch::internal {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds MinTimeout{1};
+constexpr milliseconds MaxTimeout = std::chrono::hours(1);
+constexpr std::uint32_t BytesPerKilobyte = 1024;
+
+bool isNameCharacter(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.';
+}
+
+bool isHeaderName(std::string_view text) {
+  return !text.empty() && std::ranges::all_of(text, [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' ||
+           c == '_';
+  });
+}
+
+bool isPath(std::string_view text) {
+  return text.starts_with('/') && std::ranges::all_of(text, [](char c) {
+           return std::isgraph(static_cast<unsigned char>(c)) != 0 && c != '?';
+         });
+}
+
+/** A number followed by a unit. */
+struct Quantity {
+  std::uint32_t number = 0;
+  std::string_view unit;
+};
+
+std::optional<Quantity> splitQuantity(std::string_view text) {
+  Quantity quantity;
+  const char *const end = text.data() + text.size();
+  auto [it, ec] = std::from_chars(text.data(), end, quantity.number);
+  if (ec != std::errc())
+    return std::nullopt;
+  quantity.unit = text.substr(static_cast<std::size_t>(it - text.data()));
+  return quantity;
+}
+
+std::optional<milliseconds> unitOfTime(std::string_view unit) {
+  if (unit == "ms")
+    return milliseconds(1);
+  if (unit == "s")
+    return std::chrono::seconds(1);
+  if (unit == "m")
+    return std::chrono::minutes(1);
+  return std::nullopt;
+}
+
+std::optional<std::uint32_t> unitOfRate(std::string_view unit) {
+  if (unit == "/s" || unit == "B/s")
+    return 1;
+  if (unit == "KB/s")
+    return BytesPerKilobyte;
+  return std::nullopt;
+}
+
+std::string inQuotes(std::string_view text) {
+  return "'" + std::string(text) + "'";
+}
+
+} // namespace
+
+RuleLineParser::RuleLineParser(const LexedLine &line, std::string fileName,
+                               std::size_t number)
+    : line(line), fileName(std::move(fileName)), number(number) {}
+
+std::optional<Rule> RuleLineParser::parse() {
+  struct Keyword {
+    std::string_view name;
+    Rule (RuleLineParser::*parse)();
+  };
+  static constexpr std::array Keywords{
+      Keyword{"service", &RuleLineParser::parseService},
+      Keyword{"domain", &RuleLineParser::parseDomain},
+      Keyword{"vm", &RuleLineParser::parseVm},
+      Keyword{"measure", &RuleLineParser::parseMeasure}};
+  const Word first = expect("a rule");
+  const auto *const it =
+      std::ranges::find(Keywords, first.text, &Keyword::name);
+  if (it == Keywords.end()) {
+    report(first.column,
+           inQuotes(first.text) +
+               " is not a rule; use service, domain, vm or measure");
+    parseOrigin();
+    return std::nullopt;
+  }
+  Rule rule = (this->*(it->parse))();
+  if (!findings.empty())
+    return std::nullopt;
+  return rule;
+}
+
+Rule RuleLineParser::parseService() {
+  ServiceRule rule;
+  rule.name = expectName("the service's name");
+  expectKeyword("path");
+  const Word path = expect("a path prefix");
+  if (!path.text.empty() && !isPath(path.text))
+    report(path.column,
+           inQuotes(path.text) + " is not a path; it must start with '/'");
+  rule.pathPrefix = path.text;
+  while (!isAtEnd())
+    parseServiceOption(rule);
+  rule.origin = parseOrigin();
+  return rule;
+}
+
+void RuleLineParser::parseServiceOption(ServiceRule &rule) {
+  const Word word = expect("an option");
+  if (word.text == "once") {
+    rule.isOnce = true;
+  } else if (word.text == "timeout") {
+    rule.timeout = expectTimeout();
+  } else if (word.text == "key") {
+    const Word header = expect("the header of the idempotency key");
+    if (!header.text.empty() && !isHeaderName(header.text))
+      report(header.column,
+             inQuotes(header.text) + " is not the name of a header");
+    if (!rule.isOnce)
+      report(word.column, "'key' needs 'once' before it");
+    rule.keyHeader = header.text;
+  } else {
+    report(word.column,
+           inQuotes(word.text) + " is not an option; use once, key or timeout");
+  }
+}
+
+Rule RuleLineParser::parseDomain() {
+  DomainRule rule;
+  rule.name = expectName("the failure domain's name");
+  expectKeyword("out");
+  expectEnd();
+  rule.origin = parseOrigin();
+  return rule;
+}
+
+Rule RuleLineParser::parseVm() {
+  VmRule rule;
+  const Word address = expect("the VM's address");
+  const std::string host(address.text);
+  if (!host.empty() && !Address::parse(host + ":1") && !Address::parse(host))
+    report(address.column,
+           inQuotes(host) + " is not an IP number, with or without a port");
+  rule.address = host;
+  expectKeyword("out");
+  expectEnd();
+  rule.origin = parseOrigin();
+  return rule;
+}
+
+Rule RuleLineParser::parseMeasure() {
+  MeasureRule rule;
+  expectKeyword("rate");
+  rule.messagesPerSecond = expectRate("messages a second, such as 50/s");
+  expectKeyword("bytes");
+  rule.bytesPerSecond = expectRate("bytes a second, such as 8KB/s");
+  expectEnd();
+  rule.origin = parseOrigin();
+  return rule;
+}
+
+RuleOrigin RuleLineParser::parseOrigin() {
+  if (line.author.empty())
+    report(line.authorColumn,
+           "no author; end the line with a comment that names who asked");
+  return {number, std::string(line.author)};
+}
+
+Word RuleLineParser::expect(const std::string &what) {
+  if (isAtEnd()) {
+    const auto column = line.words.empty() ? 1
+                                           : line.words.back().column +
+                                                 line.words.back().text.size();
+    report(column, "expected " + what);
+    return {{}, column};
+  }
+  return line.words[position++];
+}
+
+bool RuleLineParser::accept(std::string_view keyword) {
+  if (isAtEnd() || line.words[position].text != keyword)
+    return false;
+  ++position;
+  return true;
+}
+
+void RuleLineParser::expectKeyword(std::string_view keyword) {
+  if (accept(keyword))
+    return;
+  const Word word = expect(inQuotes(keyword));
+  if (!word.text.empty())
+    report(word.column, "expected " + inQuotes(keyword) + " and found " +
+                            inQuotes(word.text));
+}
+
+std::string RuleLineParser::expectName(const std::string &what) {
+  const Word word = expect(what);
+  if (!std::ranges::all_of(word.text, isNameCharacter))
+    report(word.column, inQuotes(word.text) +
+                            " may only hold letters, digits, '-', '_' and '.'");
+  return std::string(word.text);
+}
+
+milliseconds RuleLineParser::expectTimeout() {
+  const Word word = expect("a time, such as 2s or 500ms");
+  if (word.text.empty())
+    return ServiceRule::DefaultTimeout;
+  const auto quantity = splitQuantity(word.text);
+  const auto unit = quantity ? unitOfTime(quantity->unit) : std::nullopt;
+  if (!unit) {
+    report(word.column,
+           inQuotes(word.text) + " is not a time such as 2s or 500ms");
+    return ServiceRule::DefaultTimeout;
+  }
+  const milliseconds timeout =
+      *unit * static_cast<std::int64_t>(quantity->number);
+  if (timeout < MinTimeout || timeout > MaxTimeout)
+    report(word.column, inQuotes(word.text) + " is not between 1ms and 60m");
+  return timeout;
+}
+
+std::uint32_t RuleLineParser::expectRate(const std::string &what) {
+  const Word word = expect(what);
+  if (word.text.empty())
+    return 0;
+  const auto quantity = splitQuantity(word.text);
+  const auto unit = quantity ? unitOfRate(quantity->unit) : std::nullopt;
+  if (!unit) {
+    report(word.column, inQuotes(word.text) + " is not a number of " + what);
+    return 0;
+  }
+  const std::uint64_t rate = std::uint64_t{quantity->number} * *unit;
+  if (rate > std::numeric_limits<std::uint32_t>::max())
+    report(word.column, inQuotes(word.text) + " is too large");
+  return static_cast<std::uint32_t>(rate);
+}
+
+void RuleLineParser::expectEnd() {
+  if (isAtEnd())
+    return;
+  const Word word = line.words[position];
+  position = line.words.size();
+  report(word.column,
+         "nothing may follow here, and found " + inQuotes(word.text));
+}
+
+void RuleLineParser::report(std::size_t column, std::string message) {
+  findings.push_back({fileName, number, column, {}, std::move(message)});
+}
+
+} // namespace plantainhatch::internal
--- /dev/null
+++ b/src/version/RuleLineParser.h
@@ -0,0 +1,60 @@
+/** \file
+ * Parses the words of one line into one rule. */
+#ifndef PLANTAINHATCH_VERSION_RULELINEPARSER_H
+#define PLANTAINHATCH_VERSION_RULELINEPARSER_H
+
+#include "base/Finding.h"
+#include "version/Rule.h"
+#include "version/RuleLexer.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+namespace plantainhatch::internal {
+
+/** A recursive descent over one line. Gathers all faults of the line; not
+ * thread-safe. */
+class RuleLineParser {
+public:
+  /** \pre \p line has at least one word, and outlives the parser. */
+  RuleLineParser(const LexedLine &line, std::string fileName,
+                 std::size_t number);
+
+  /** The rule, or nothing if the line has a fault. */
+  std::optional<Rule> parse();
+
+  /** The faults found by parse(). */
+  Findings takeFindings() { return std::move(findings); }
+
+private:
+  const LexedLine &line;
+  std::string fileName;
+  std::size_t number;
+  std::size_t position = 0;
+  Findings findings;
+
+  Rule parseService();
+  Rule parseDomain();
+  Rule parseVm();
+  Rule parseMeasure();
+
+  void parseServiceOption(ServiceRule &rule);
+  RuleOrigin parseOrigin();
+  /** The next word, or a finding that says what is missing and a word without
+   * text. */
+  Word expect(const std::string &what);
+  /** Takes the next word if it is \p keyword. */
+  bool accept(std::string_view keyword);
+  void expectKeyword(std::string_view keyword);
+  std::string expectName(const std::string &what);
+  std::chrono::milliseconds expectTimeout();
+  std::uint32_t expectRate(const std::string &what);
+  void expectEnd();
+  void report(std::size_t column, std::string message);
+  bool isAtEnd() const { return position >= line.words.size(); }
+};
+
+} // namespace plantainhatch::internal
+
+#endif
