--- /dev/null
+++ b/test/correctness/ConfigurationTest.cpp
@@ -0,0 +1,153 @@
+/** \file
+ * Versions: matching of calls, edits by moves, deltas, and never going back. */
+#include "base/Digest.h"
+#include "process/ConfigurationKeeper.h"
+#include "version/RulesEdit.h"
+
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainhatch;
+
+namespace {
+
+ConfigurationHead headFor(std::uint64_t version, const std::string &text) {
+  return {version, digestOf(text), "apply-" + std::to_string(version), "Test",
+          "change", 0};
+}
+
+ConfigurationPtr build(const std::string &text) {
+  return Configuration::build(headFor(1, text), text).value();
+}
+
+std::string textWith(unsigned n) {
+  return "service s path /s timeout " + std::to_string(n) + "ms  # T\n";
+}
+
+} // namespace
+
+TEST_GROUP(Configuration){};
+
+TEST(Configuration, LongestPathPrefixPicksTheService) {
+  const auto it = build("service a path /a  # T\n"
+                        "service ab path /a/b  # T\n"
+                        "service root path /  # T\n");
+  STRCMP_EQUAL("ab", it->findService("/a/b/c")->name.c_str());
+  STRCMP_EQUAL("a", it->findService("/a/c")->name.c_str());
+  STRCMP_EQUAL("root", it->findService("/abc")->name.c_str());
+  CHECK(build("service a path /a  # T\n")->findService("/ab") == nullptr);
+}
+
+TEST(Configuration, VmIsFoundByNumberAndByNumberWithPort) {
+  const auto it = build("vm 10.0.0.7 out # T\nvm 10.0.0.8:81 out # T\n");
+  CHECK(it->findVmOut({"10.0.0.7", 5}) != nullptr);
+  CHECK(it->findVmOut({"10.0.0.8", 81}) != nullptr);
+  CHECK(it->findVmOut({"10.0.0.8", 82}) == nullptr);
+}
+
+TEST(Configuration, TextThatDoesNotFitItsHeadIsRefused) {
+  CHECK_FALSE(
+      Configuration::build(headFor(1, textWith(1)), textWith(2)).has_value());
+}
+
+TEST(Configuration, MoveOutAndInLeavesOtherLinesAlone) {
+  const std::string text = "service a path /a  # T\n# remark\n";
+  Move move{MoveKind::Domain, MoveDirection::Out, "d", "Night shift"};
+  const std::string out = applyMove(*build(text), move);
+  STRCMP_EQUAL((text + "domain d out  # Night shift\n").c_str(), out.c_str());
+  STRCMP_EQUAL(out.c_str(), applyMove(*build(out), move).c_str());
+  move.direction = MoveDirection::In;
+  STRCMP_EQUAL(text.c_str(), applyMove(*build(out), move).c_str());
+}
+
+TEST(Configuration, DeltaTurnsOneTextIntoAnother) {
+  std::mt19937_64 random(7);
+  const auto makeText = [&random] {
+    std::string text;
+    for (auto n = random() % 40; n > 0; --n)
+      text += static_cast<char>('a' + random() % 3);
+    return text;
+  };
+  for (int n = 0; n < 2000; ++n) {
+    const std::string from = makeText();
+    const std::string to = makeText();
+    CHECK(TextDelta::between(from, to).apply(from) == to);
+  }
+}
+
+TEST(Configuration, DeltaOfOneLineIsSmallInALargeText) {
+  std::string text;
+  for (unsigned n = 0; n < 690; ++n)
+    text += "service s" + std::to_string(n) + " path /p" + std::to_string(n) +
+            "  # T\n";
+  const std::string out = text + "domain sierra-a out  # Night shift\n";
+  CHECK(TextDelta::between(text, out).replacement.size() < 64);
+}
+
+TEST(Configuration, OlderVersionIsNeverTakenWhoeverOffersIt) {
+  ConfigurationKeeper keeper;
+  CHECK(keeper.adopt(headFor(5, textWith(5)), textWith(5)) ==
+        AdoptResult::Adopted);
+  for (unsigned n = 0; n < 5; ++n)
+    CHECK(keeper.adopt(headFor(n, textWith(n)), textWith(n)) ==
+          AdoptResult::NotNewer);
+  const ConfigurationUpdate old{
+      0, {}, std::pair(headFor(4, textWith(4)), textWith(4))};
+  CHECK(keeper.adopt(old) == AdoptResult::NotNewer);
+  CHECK_EQUAL(5, keeper.version());
+}
+
+TEST(Configuration, OtherTextUnderTheSameVersionIsAConflict) {
+  ConfigurationKeeper keeper;
+  keeper.adopt(headFor(2, textWith(2)), textWith(2));
+  CHECK(keeper.adopt(headFor(2, textWith(9)), textWith(9)) ==
+        AdoptResult::Conflict);
+  STRCMP_EQUAL(textWith(2).c_str(), keeper.current()->text().c_str());
+}
+
+TEST(Configuration, LaggingPeerIsBroughtForwardBySteps) {
+  ConfigurationKeeper ahead;
+  ConfigurationKeeper behind;
+  for (unsigned n = 1; n <= 20; ++n) {
+    ahead.adopt(headFor(n, textWith(n)), textWith(n));
+    if (n == 5)
+      behind.adopt(headFor(n, textWith(n)), textWith(n));
+  }
+  const auto update =
+      ahead.updateFor(behind.version(), behind.current()->head().digest);
+  CHECK_FALSE(update->whole.has_value());
+  CHECK_EQUAL(15, update->steps.size());
+  CHECK(behind.adopt(*update) == AdoptResult::Adopted);
+  CHECK_EQUAL(20, behind.version());
+}
+
+TEST(Configuration, PeerWithAnotherTextGetsTheWholeOne) {
+  ConfigurationKeeper ahead;
+  for (unsigned n = 1; n <= 3; ++n)
+    ahead.adopt(headFor(n, textWith(n)), textWith(n));
+  const auto update = ahead.updateFor(1, digestOf("another text"));
+  CHECK(update->whole.has_value());
+}
+
+TEST(Configuration, PeerFartherBehindThanTheKeptStepsGetsTheWholeText) {
+  ConfigurationKeeper ahead;
+  const unsigned last = ConfigurationKeeper::MaxSteps + 10;
+  for (unsigned n = 1; n <= last; ++n)
+    ahead.adopt(headFor(n, textWith(n)), textWith(n));
+  CHECK(ahead.updateFor(2, digestOf(textWith(2)))->whole.has_value());
+  CHECK_FALSE(
+      ahead.updateFor(last - 1, digestOf(textWith(last - 1)))->whole.has_value());
+}
+
+TEST(Configuration, DamagedStepChangesNothingAfterIt) {
+  ConfigurationKeeper ahead;
+  ConfigurationKeeper behind;
+  for (unsigned n = 1; n <= 3; ++n)
+    ahead.adopt(headFor(n, textWith(n)), textWith(n));
+  behind.adopt(headFor(1, textWith(1)), textWith(1));
+  auto update = *ahead.updateFor(1, digestOf(textWith(1)));
+  update.steps[1].delta.replacement += "damage";
+  CHECK(behind.adopt(update) == AdoptResult::Invalid);
+  CHECK_EQUAL(2, behind.version());
+}
--- /dev/null
+++ b/test/correctness/ProcessStateTest.cpp
@@ -0,0 +1,160 @@
+/** \file
+ * Quarantine, measuring budget, freshness, hybrid time, event ring. */
+#include "base/HybridClock.h"
+#include "process/EventLog.h"
+#include "process/FreshnessGuard.h"
+#include "process/MeasureBudget.h"
+#include "process/Metrics.h"
+#include "process/Quarantine.h"
+#include "request/LatencyWindow.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainhatch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint Start = TimePoint(std::chrono::hours(1));
+const Quarantine::Crash FirstCrash{{"127.0.0.1", 1}, "boot"};
+const Quarantine::Crash SecondCrash{{"127.0.0.1", 2}, "boot"};
+
+} // namespace
+
+TEST_GROUP(ProcessState){};
+
+TEST(ProcessState, RequestIsQuarantinedAtTheSecondDeath) {
+  Quarantine quarantine;
+  CHECK(quarantine.onCrash(FirstCrash, {7, 8}, Start).empty());
+  CHECK_FALSE(quarantine.isQuarantined(7, Start));
+  const auto found = quarantine.onCrash(SecondCrash, {7}, Start);
+  CHECK_EQUAL(1, found.size());
+  CHECK(quarantine.isQuarantined(7, Start));
+  CHECK_FALSE(quarantine.isQuarantined(8, Start));
+}
+
+TEST(ProcessState, OneDeathReportedTwiceCountsOnce) {
+  Quarantine quarantine;
+  quarantine.onCrash(FirstCrash, {7}, Start);
+  quarantine.onCrash(FirstCrash, {7}, Start);
+  CHECK_FALSE(quarantine.isQuarantined(7, Start));
+}
+
+TEST(ProcessState, FullAnswerClearsASuspicion) {
+  Quarantine quarantine;
+  quarantine.onCrash(FirstCrash, {7}, Start);
+  CHECK(quarantine.clear(7));
+  CHECK_FALSE(quarantine.clear(7));
+  quarantine.onCrash(SecondCrash, {7}, Start);
+  CHECK_FALSE(quarantine.isQuarantined(7, Start));
+}
+
+TEST(ProcessState, QuarantineExpires) {
+  Quarantine quarantine;
+  quarantine.onCrash(FirstCrash, {7}, Start);
+  quarantine.onCrash(SecondCrash, {7}, Start);
+  const auto later = Start + Quarantine::Lifetime;
+  CHECK_FALSE(quarantine.isQuarantined(7, later));
+  quarantine.expire(later);
+  CHECK(quarantine.list(later).empty());
+}
+
+TEST(ProcessState, MeasuringNeverExceedsItsBudget) {
+  MeasureBudget budget;
+  MeasureRule rule;
+  rule.messagesPerSecond = 50;
+  rule.bytesPerSecond = 4096;
+  budget.reshape(rule);
+  for (int ms = 0; ms < 10'000; ++ms)
+    for (int n = 0; n < 10; ++n)
+      budget.trySpend(100, Start + milliseconds(ms));
+  // Ten seconds of the rates and one burst of a tenth of a second.
+  CHECK(budget.messageCount() <= 505);
+  CHECK(budget.byteCount() <= 4096 * 10 + 410);
+  CHECK(budget.byteCount() >= 4096 * 9);
+  CHECK(budget.refusedCount() > 0);
+}
+
+TEST(ProcessState, BudgetOfZeroSpendsNothing) {
+  MeasureBudget budget;
+  MeasureRule rule;
+  rule.messagesPerSecond = 0;
+  budget.reshape(rule);
+  CHECK_FALSE(budget.trySpend(1, Start));
+  CHECK_FALSE(budget.trySpend(1, Start + seconds(100)));
+}
+
+TEST(ProcessState, PausedProcessIsStaleUntilItIsConfirmed) {
+  FreshnessGuard guard;
+  guard.onTick(Start);
+  CHECK_FALSE(guard.isStale(Start + milliseconds(500)));
+  const TimePoint thawed = Start + seconds(30);
+  CHECK(guard.isStale(thawed));
+  CHECK(guard.takePause());
+  guard.onConfirmed(thawed - milliseconds(1));
+  CHECK(guard.isStale(thawed + milliseconds(10)));
+  guard.onConfirmed(thawed + milliseconds(1));
+  CHECK_FALSE(guard.isStale(thawed + milliseconds(20)));
+}
+
+TEST(ProcessState, StaleProcessServesAgainWhenNobodyAnswers) {
+  FreshnessGuard guard;
+  guard.onTick(Start);
+  TimePoint now = Start + seconds(30);
+  CHECK(guard.isStale(now));
+  for (int n = 0; n < 25; ++n)
+    guard.isStale(now += milliseconds(100));
+  CHECK_FALSE(guard.isStale(now));
+}
+
+TEST(ProcessState, EffectIsStampedLaterThanItsCauseWhateverTheClocks) {
+  HybridClock ahead;
+  HybridClock behind;
+  const WallTime wall(seconds(1'000'000));
+  const HybridTime cause = ahead.stamp(wall + seconds(5));
+  CHECK(behind.observe(cause, wall));
+  CHECK(behind.stamp(wall) > cause);
+}
+
+TEST(ProcessState, ClockFarAheadIsNotFollowed) {
+  HybridClock clock;
+  const WallTime wall(seconds(1'000'000));
+  HybridClock broken;
+  const HybridTime far = broken.stamp(wall + std::chrono::hours(9));
+  CHECK_FALSE(clock.observe(far, wall));
+  CHECK(clock.stamp(wall).wallTime() == wall);
+}
+
+TEST(ProcessState, EventRingIsBoundedAndCountsMergeFloods) {
+  EventLog log("node");
+  for (int n = 0; n < 100'000; ++n)
+    log.count(EventKind::CallsRefused, "s", "full");
+  log.flushCounts({1});
+  CHECK_EQUAL(1, log.since({}).size());
+  STRCMP_EQUAL("100000 calls", log.since({})[0].detail.c_str());
+  for (std::uint64_t n = 2; n < EventLog::Capacity + 100; ++n)
+    log.record({n}, EventKind::StoreDown, "s", "d", "c");
+  CHECK_EQUAL(EventLog::Capacity, log.since({}).size());
+  CHECK(log.droppedCount() > 0);
+  CHECK_EQUAL(1, log.since({log.newest().value - 1}).size());
+}
+
+TEST(ProcessState, HistogramQuantilesBoundTheSamples) {
+  LatencyHistogram histogram;
+  for (int n = 1; n <= 1000; ++n)
+    histogram.record(milliseconds(n));
+  CHECK(histogram.quantile(0.5) >= milliseconds(500));
+  CHECK(histogram.quantile(0.5) <= milliseconds(600));
+  CHECK(histogram.quantile(0.99) >= milliseconds(990));
+}
+
+TEST(ProcessState, LatencyWindowForgetsOldSamples) {
+  LatencyWindow window;
+  CHECK_FALSE(window.p95().has_value());
+  for (int n = 0; n < 1000; ++n)
+    window.record(milliseconds(100));
+  for (std::size_t n = 0; n < LatencyWindow::Size; ++n)
+    window.record(milliseconds(1));
+  CHECK(window.p95() == milliseconds(1));
+}
