Keep the slot of a queued call from being lost

Cause: the gate beside the ingress refuses at once, inside the call that hands over; the next attempt, queued at the same target, was then overwritten by the refused one, its call destroyed while it waited, and its place in the queue admitted without anyone to end it. The slot was lost until the next start.

Ruled out: leaks in cancellation and in the forwarded path (gate counts were 0 there); a slow target (its own count of running calls was 0 while the gate's was 1).

A call that dies while it waits now also leaves the queue by itself.

--- a/src/connection/Exchange.h
+++ b/src/connection/Exchange.h
@@ -32,8 +32,9 @@
   bool needsFreshConnection = false;
 };
 
-/** Sends a request once; the library is kept from sending it again, so that each
- * hand-over is decided and counted in one place. Used on the main loop only. */
+/** Sends a request once; the library is kept from sending it again, so that
+ * each hand-over is decided and counted in one place. Used on the main loop
+ * only. */
 class Exchange : public AnswerSource {
 public:
   using Result = std::variant<AnswerHead, ExchangeError>;
--- a/src/node/GateCall.cpp
+++ b/src/node/GateCall.cpp
@@ -25,6 +25,8 @@
       receiver(std::move(receiver)) {}
 
 GateCall::~GateCall() {
+  if (state == State::Waiting)
+    task.gate.abandon(callId);
   if (state != State::Sent && state != State::Answered)
     return;
   exchange->cancel();
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -153,20 +153,24 @@
   task.measure.loads().onSent(choice->peers, NodeServices::now());
   task.services.metrics.add("attempts_total");
   attempts[choice->peers] = nullptr;
-  const AnswerSourcePtr source = handOver(*choice, mayQueue);
-  // A refusal of the local gate has come in already.
-  const auto it = attempts.find(choice->peers);
-  if (it != attempts.end())
-    it->second = source;
+  const auto hasResult = std::make_shared<bool>(false);
+  const AnswerSourcePtr source = handOver(*choice, mayQueue, hasResult);
+  // The gate beside this node may have refused already, and the next attempt at
+  // the same target may be under way.
+  if (!*hasResult)
+    attempts[choice->peers] = source;
   if (!isEnded)
     startHedgeTimer();
 }
 
-AnswerSourcePtr IngressCall::handOver(const Choice &choice, bool mayQueue) {
+AnswerSourcePtr IngressCall::handOver(const Choice &choice, bool mayQueue,
+                                      const std::shared_ptr<bool> &hasResult) {
   HandOver order{request,  rule->name, fingerprint,
                  deadline, mayQueue,   isClaimHeld};
   const CallPtr self(this);
-  auto receiver = [self, target = choice.peers](HandOverResult result) {
+  auto receiver = [self, hasResult,
+                   target = choice.peers](HandOverResult result) {
+    *hasResult = true;
     self->onResult(target, std::move(result));
   };
   if (choice.isLocalNode)
--- a/test/correctness/ClaimDecisionTest.cpp
+++ b/test/correctness/ClaimDecisionTest.cpp
@@ -81,9 +81,9 @@
     ClaimDecision resend("other", "digest");
     resend.start();
     resend.onInserted(StoreResult::Conflict, "");
-    CHECK(isAnswer(resend.onRead(StoreResult::Ok, makeRow("first", it.state),
-                                 "1", Now),
-                   it.status, Outcome::Unknown));
+    CHECK(isAnswer(
+        resend.onRead(StoreResult::Ok, makeRow("first", it.state), "1", Now),
+        it.status, Outcome::Unknown));
     CHECK_FALSE(resend.mayHaveLeftRow());
   }
 }
@@ -147,9 +147,9 @@
         }
         const auto fate = random() % 4;
         if (is<ReadClaimAction>(action)) {
-          const StoreResult result = fate == 0   ? StoreResult::Unknown
-                                     : stored ? StoreResult::Ok
-                                              : StoreResult::Absent;
+          const StoreResult result = fate == 0 ? StoreResult::Unknown
+                                     : stored  ? StoreResult::Ok
+                                               : StoreResult::Absent;
           action = decision.onRead(
               result, result == StoreResult::Ok ? stored : std::nullopt, "1",
               Now);
--- a/test/correctness/ConfigurationTest.cpp
+++ b/test/correctness/ConfigurationTest.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 ConfigurationHead headFor(std::uint64_t version, const std::string &text) {
-  return {version, digestOf(text), "apply-" + std::to_string(version), "Test",
-          "change", 0};
+  return {version, digestOf(text), "apply-" + std::to_string(version),
+          "Test",  "change",       0};
 }
 
 ConfigurationPtr build(const std::string &text) {
@@ -136,8 +136,8 @@
   for (unsigned n = 1; n <= last; ++n)
     ahead.adopt(headFor(n, textWith(n)), textWith(n));
   CHECK(ahead.updateFor(2, digestOf(textWith(2)))->whole.has_value());
-  CHECK_FALSE(
-      ahead.updateFor(last - 1, digestOf(textWith(last - 1)))->whole.has_value());
+  CHECK_FALSE(ahead.updateFor(last - 1, digestOf(textWith(last - 1)))
+                  ->whole.has_value());
 }
 
 TEST(Configuration, DamagedStepChangesNothingAfterIt) {
--- a/test/correctness/GateTest.cpp
+++ b/test/correctness/GateTest.cpp
@@ -34,8 +34,7 @@
 void warmUp(Gate &gate, milliseconds latency, CallId &next, TimePoint &now) {
   while (gate.isCold()) {
     std::vector<CallId> batch;
-    while (gate.admit(makeRequest(next), now).kind ==
-           Admission::Kind::Admitted)
+    while (gate.admit(makeRequest(next), now).kind == Admission::Kind::Admitted)
       batch.push_back(next++);
     now += latency;
     for (const CallId id : batch)
@@ -87,8 +86,7 @@
   unsigned before = gate.limit();
   while (gate.isCold()) {
     std::vector<CallId> batch;
-    while (gate.admit(makeRequest(next), now).kind ==
-           Admission::Kind::Admitted)
+    while (gate.admit(makeRequest(next), now).kind == Admission::Kind::Admitted)
       batch.push_back(next++);
     now += milliseconds(5);
     for (const CallId id : batch)
@@ -135,8 +133,7 @@
   CHECK(gate.takeCut() == LimitCut::LatencyStep);
   for (int round = 0; round < 20; ++round) {
     std::vector<CallId> batch;
-    while (gate.admit(makeRequest(next), now).kind ==
-           Admission::Kind::Admitted)
+    while (gate.admit(makeRequest(next), now).kind == Admission::Kind::Admitted)
       batch.push_back(next++);
     now += milliseconds(60);
     for (const CallId id : batch)
@@ -176,8 +173,9 @@
       }
       ++next;
     } else if (dice < 98 && !running.empty()) {
-      const auto id = *std::next(
-          running.begin(), static_cast<std::ptrdiff_t>(random() % running.size()));
+      const auto id =
+          *std::next(running.begin(),
+                     static_cast<std::ptrdiff_t>(random() % running.size()));
       running.erase(id);
       take(gate.finish(id, static_cast<GateOutcome>(random() % 6), now));
     } else if (dice == 98) {
--- a/test/error/MessageFaultsTest.cpp
+++ b/test/error/MessageFaultsTest.cpp
@@ -77,8 +77,7 @@
   CallRequest request{"id", "POST", "/release/1", {}, "body"};
   const WallTime now(std::chrono::seconds(1'000'000));
   HybridClock clock;
-  const ForwardClaims claims{"release", clock.stamp(now), "100",
-                             "127.0.0.1:1"};
+  const ForwardClaims claims{"release", clock.stamp(now), "100", "127.0.0.1:1"};
   const std::string proof = makeForwardProof("key", request, claims);
   CHECK(isForwardProofValid("key", request, claims, proof, now));
   CHECK_FALSE(isForwardProofValid("other", request, claims, proof, now));
--- a/test/error/RuleFaultsTest.cpp
+++ b/test/error/RuleFaultsTest.cpp
@@ -42,7 +42,8 @@
      "'service a' stands already in line 1"},
     {"service a path /a # T\nservice b path /a # T\n", 2, 1,
      "'path /a' stands already in line 1"},
-    {"domain d out # T\n\ndomain d out # T\n", 3, 1, "stands already in line 1"},
+    {"domain d out # T\n\ndomain d out # T\n", 3, 1,
+     "stands already in line 1"},
     {"vm 1.2.3.4 out # T\nvm 1.2.3.4 out # T\n", 2, 1, "stands already"},
     {"measure rate 1/s bytes 1/s # T\nmeasure rate 1/s bytes 1/s # T\n", 2, 1,
      "stands already"},
@@ -74,12 +75,14 @@
 }
 
 TEST(RuleFaults, CommentsAndBlankLinesAreNoRules) {
-  const auto rules = parseRules("# a remark\n\n  \t\r\ndomain d out # T\r\n", "f");
+  const auto rules =
+      parseRules("# a remark\n\n  \t\r\ndomain d out # T\r\n", "f");
   CHECK_EQUAL(1, rules.value().size());
   STRCMP_EQUAL("T",
                std::get<DomainRule>(rules.value()[0]).origin.author.c_str());
 }
 
 TEST(RuleFaults, OversizedFileIsRefused) {
-  CHECK_FALSE(parseRules(std::string(MaxRulesBytes + 1, '\n'), "f").has_value());
+  CHECK_FALSE(
+      parseRules(std::string(MaxRulesBytes + 1, '\n'), "f").has_value());
 }
--- a/test/fault/AtMostOnceTest.cpp
+++ b/test/fault/AtMostOnceTest.cpp
@@ -30,30 +30,50 @@
 };
 
 const Row Rows[] = {
-    {Party::Ingress, Fault::Kill, Step::BeforeClaim, "ingress killed before claim"},
+    {Party::Ingress, Fault::Kill, Step::BeforeClaim,
+     "ingress killed before claim"},
     {Party::Ingress, Fault::Kill, Step::DuringRun, "ingress killed during run"},
-    {Party::Ingress, Fault::Kill, Step::BeforeOutcome, "ingress killed before outcome"},
-    {Party::Ingress, Fault::Freeze, Step::BeforeClaim, "ingress frozen before claim"},
-    {Party::Ingress, Fault::Freeze, Step::DuringRun, "ingress frozen during run"},
-    {Party::Ingress, Fault::Freeze, Step::BeforeOutcome, "ingress frozen before outcome"},
+    {Party::Ingress, Fault::Kill, Step::BeforeOutcome,
+     "ingress killed before outcome"},
+    {Party::Ingress, Fault::Freeze, Step::BeforeClaim,
+     "ingress frozen before claim"},
+    {Party::Ingress, Fault::Freeze, Step::DuringRun,
+     "ingress frozen during run"},
+    {Party::Ingress, Fault::Freeze, Step::BeforeOutcome,
+     "ingress frozen before outcome"},
     {Party::Gate, Fault::Kill, Step::BeforeClaim, "gates killed before claim"},
     {Party::Gate, Fault::Kill, Step::DuringRun, "gates killed during run"},
-    {Party::Gate, Fault::Freeze, Step::BeforeClaim, "gates frozen before claim"},
+    {Party::Gate, Fault::Freeze, Step::BeforeClaim,
+     "gates frozen before claim"},
     {Party::Gate, Fault::Freeze, Step::DuringRun, "gates frozen during run"},
-    {Party::TargetProcess, Fault::Kill, Step::BeforeClaim, "targets killed before claim"},
-    {Party::TargetProcess, Fault::Kill, Step::DuringRun, "targets killed during run"},
-    {Party::TargetProcess, Fault::Freeze, Step::BeforeClaim, "targets frozen before claim"},
-    {Party::TargetProcess, Fault::Freeze, Step::DuringRun, "targets frozen during run"},
-    {Party::PlatformStore, Fault::Kill, Step::BeforeClaim, "platform down before claim"},
-    {Party::PlatformStore, Fault::Kill, Step::DuringRun, "platform down during run"},
-    {Party::PlatformStore, Fault::Slow, Step::BeforeClaim, "platform slow before claim"},
-    {Party::PlatformStore, Fault::Slow, Step::DuringRun, "platform slow during run"},
-    {Party::PlatformStore, Fault::LoseAnswers, Step::BeforeClaim, "platform loses answers before claim"},
-    {Party::PlatformStore, Fault::LoseAnswers, Step::DuringRun, "platform loses answers during run"},
-    {Party::PlatformStore, Fault::Freeze, Step::BeforeClaim, "platform frozen before claim"},
-    {Party::PlatformStore, Fault::Freeze, Step::DuringRun, "platform frozen during run"},
-    {Party::CallerItself, Fault::Cut, Step::BeforeClaim, "caller gone before claim"},
-    {Party::CallerItself, Fault::Cut, Step::DuringRun, "caller gone during run"},
+    {Party::TargetProcess, Fault::Kill, Step::BeforeClaim,
+     "targets killed before claim"},
+    {Party::TargetProcess, Fault::Kill, Step::DuringRun,
+     "targets killed during run"},
+    {Party::TargetProcess, Fault::Freeze, Step::BeforeClaim,
+     "targets frozen before claim"},
+    {Party::TargetProcess, Fault::Freeze, Step::DuringRun,
+     "targets frozen during run"},
+    {Party::PlatformStore, Fault::Kill, Step::BeforeClaim,
+     "platform down before claim"},
+    {Party::PlatformStore, Fault::Kill, Step::DuringRun,
+     "platform down during run"},
+    {Party::PlatformStore, Fault::Slow, Step::BeforeClaim,
+     "platform slow before claim"},
+    {Party::PlatformStore, Fault::Slow, Step::DuringRun,
+     "platform slow during run"},
+    {Party::PlatformStore, Fault::LoseAnswers, Step::BeforeClaim,
+     "platform loses answers before claim"},
+    {Party::PlatformStore, Fault::LoseAnswers, Step::DuringRun,
+     "platform loses answers during run"},
+    {Party::PlatformStore, Fault::Freeze, Step::BeforeClaim,
+     "platform frozen before claim"},
+    {Party::PlatformStore, Fault::Freeze, Step::DuringRun,
+     "platform frozen during run"},
+    {Party::CallerItself, Fault::Cut, Step::BeforeClaim,
+     "caller gone before claim"},
+    {Party::CallerItself, Fault::Cut, Step::DuringRun,
+     "caller gone during run"},
 };
 
 constexpr milliseconds HoldTime{400};
@@ -176,11 +196,11 @@
     bool isSettled = false;
     std::string last;
     for (int n = 0; n < 40 && !isSettled; ++n) {
-      const Address node = fleet.callers()[static_cast<std::size_t>(n) %
-                                           fleet.vms.size()];
-      const auto answer =
-          fleet.http.send(node, "POST", "/release/1", {{"Idempotency-Key", key}},
-                          "pallet", milliseconds(4000));
+      const Address node =
+          fleet.callers()[static_cast<std::size_t>(n) % fleet.vms.size()];
+      const auto answer = fleet.http.send(node, "POST", "/release/1",
+                                          {{"Idempotency-Key", key}}, "pallet",
+                                          milliseconds(4000));
       check(row, key, answer);
       last = outcomeOf(answer) + " " + std::to_string(answer.status) + " " +
              answer.body;
--- a/test/fault/CrashingRequestTest.cpp
+++ b/test/fault/CrashingRequestTest.cpp
@@ -21,8 +21,8 @@
       if (!fleet.vms[fleet.vmOf("status", n)]->targetProcess->isRunning())
         ++dead;
     CHECK_EQUAL_TEXT(2, dead, method);
-    const auto refused = fleet.http.send(fleet.callers()[0], method,
-                                         "/status/crash");
+    const auto refused =
+        fleet.http.send(fleet.callers()[0], method, "/status/crash");
     CHECK_EQUAL(503, refused.status);
     STRCMP_EQUAL("not-run", outcomeOf(refused).c_str());
     // Other requests of the route go on.
--- a/test/fault/MovesAndStopsTest.cpp
+++ b/test/fault/MovesAndStopsTest.cpp
@@ -1,7 +1,7 @@
 /** \file
  * Moves, leaving targets and planned stops under load. */
-#include "standins/Caller.h"
 #include "base/Settings.h"
+#include "standins/Caller.h"
 #include "support/FaultFixture.h"
 
 #include <future>
@@ -18,7 +18,8 @@
 /** Callers as a process of their own, so that the test can act meanwhile. */
 class BackgroundCallers {
 public:
-  BackgroundCallers(const Fleet &fleet, const std::vector<std::string> &options) {
+  BackgroundCallers(const Fleet &fleet,
+                    const std::vector<std::string> &options) {
     std::string nodes;
     for (const Address &node : fleet.callers())
       nodes += node.toString() + ",";
@@ -33,8 +34,8 @@
 
   json finish() {
     gchar *out = nullptr;
-    g_subprocess_communicate_utf8(process.get(), nullptr, nullptr, &out, nullptr,
-                                  nullptr);
+    g_subprocess_communicate_utf8(process.get(), nullptr, nullptr, &out,
+                                  nullptr, nullptr);
     const json report = json::parse(out == nullptr ? "" : out, nullptr, false);
     g_free(out);
     return report;
@@ -66,7 +67,8 @@
   g_usleep(1'000'000);
   const auto moved =
       fleet.command({"domain", "out", "domain-0", "--who", "Night shift"});
-  CHECK_EQUAL(0, fleet.command({"wait", versionIn(moved), "--timeout", "20"}).code);
+  CHECK_EQUAL(
+      0, fleet.command({"wait", versionIn(moved), "--timeout", "20"}).code);
   const auto vm = fleet.vmOf("status");
   Fleet::waitUntil([&] { return fleet.targetStats(vm).at("running") == 0; });
   const unsigned before = runsOf(fleet, vm);
@@ -74,8 +76,8 @@
   CHECK_EQUAL(before, runsOf(fleet, vm));
   const auto returned =
       fleet.command({"domain", "in", "domain-0", "--who", "Day shift"});
-  CHECK_EQUAL(0,
-              fleet.command({"wait", versionIn(returned), "--timeout", "20"}).code);
+  CHECK_EQUAL(
+      0, fleet.command({"wait", versionIn(returned), "--timeout", "20"}).code);
   CHECK(Fleet::waitUntil([&] { return runsOf(fleet, vm) > before; }));
   checkAllAnswered(callers.finish(), "domain out and in");
 }
@@ -85,7 +87,8 @@
   CHECK(fleet.start());
   const auto moved =
       fleet.command({"domain", "out", "domain-0", "--who", "Night shift"});
-  CHECK_EQUAL(0, fleet.command({"wait", versionIn(moved), "--timeout", "20"}).code);
+  CHECK_EQUAL(
+      0, fleet.command({"wait", versionIn(moved), "--timeout", "20"}).code);
   fleet.setPlatform({{"mode", "down"}});
   const auto vm = fleet.vmOf("status");
   fleet.vms[vm]->node->kill();
@@ -102,11 +105,13 @@
            state.at("gate").at("state") != "absent";
   }));
   for (int n = 0; n < 40; ++n)
-    CHECK_EQUAL(200, fleet.http
-                         .get(fleet.callers()[static_cast<std::size_t>(n) %
-                                              fleet.vms.size()],
-                              "/status")
-                         .status);
+    CHECK_EQUAL(
+        200,
+        fleet.http
+            .get(
+                fleet.callers()[static_cast<std::size_t>(n) % fleet.vms.size()],
+                "/status")
+            .status);
   CHECK_EQUAL(0, runsOf(fleet, vm));
 }
 
@@ -145,8 +150,8 @@
   fleet.vms[vm]->targetProcess->signal(SIGTERM);
   CHECK_EQUAL(0, fleet.vms[vm]->targetProcess->wait());
   const json report = callers.finish();
-  checkAllAnswered(report,
-                   fleet.command({"timeline", "--filter", "calls-"}).out.c_str());
+  checkAllAnswered(
+      report, fleet.command({"timeline", "--filter", "calls-"}).out.c_str());
 }
 
 TEST(MovesAndStops, RollingRestartOfNodesAndTargetsFailsNoCall) {
@@ -234,7 +239,22 @@
                   {}, "", milliseconds(300));
   CHECK(Fleet::waitUntil(
       [&] { return fleet.targetStats(vm).at("cancelled") == 1; }));
-  CHECK(Fleet::waitUntil([&] {
-    return fleet.status(vm).at("gate").at("inFlight") == 0;
-  }));
+  CHECK(Fleet::waitUntil(
+      [&] { return fleet.status(vm).at("gate").at("inFlight") == 0; }));
+}
+
+TEST(MovesAndStops, NoSlotIsLostWhateverBecomesOfQueuedCalls) {
+  Fleet fleet(makePlan(2, 1, {"--service-ms", "40"}));
+  CHECK(fleet.start());
+  BackgroundCallers callers(
+      fleet, {"--rate", "500", "--ms", "4000", "--cancel-every", "7"});
+  callers.finish();
+  for (std::size_t n = 0; n < 2; ++n) {
+    const auto vm = fleet.vmOf("status", n);
+    CHECK(Fleet::waitUntil(
+        [&] { return fleet.targetStats(vm).at("running") == 0; }));
+    CHECK(Fleet::waitUntil(
+        [&] { return fleet.status(vm).at("gate").at("inFlight") == 0; }));
+    CHECK_EQUAL(0, fleet.targetStats(vm).at("overruns").get<int>());
+  }
 }
--- a/test/fault/PlatformOutageTest.cpp
+++ b/test/fault/PlatformOutageTest.cpp
@@ -1,5 +1,6 @@
 /** \file
- * Serving, joining and changing while the platform is down, slow or set back. */
+ * Serving, joining and changing while the platform is down, slow or set back.
+ */
 #include "base/Settings.h"
 #include "support/FaultFixture.h"
 
@@ -32,7 +33,8 @@
            state.at("gate").at("state") != "absent";
   }));
   CHECK_EQUAL(200, fleet.http.get(fleet.vms[vm]->callers, "/status").status);
-  CHECK(Fleet::waitUntil([&] { return !fleet.status(0).value("storeUp", true); }));
+  CHECK(Fleet::waitUntil(
+      [&] { return !fleet.status(0).value("storeUp", true); }));
 }
 
 TEST(PlatformOutage, ChangesAreRefusedWithAReasonAndNothingIsChanged) {
@@ -44,7 +46,8 @@
   CHECK_EQUAL(1, refused.code);
   CHECK(refused.err.find("store does not answer") != std::string::npos);
   fleet.setPlatform({{"mode", "up"}});
-  STRCMP_EQUAL("1", std::to_string(fleet.status(0).value("version", 0)).c_str());
+  STRCMP_EQUAL("1",
+               std::to_string(fleet.status(0).value("version", 0)).c_str());
 }
 
 TEST(PlatformOutage, LostAnswerOfAnAcceptedChangeIsFoundOut) {
@@ -66,14 +69,16 @@
 TEST(PlatformOutage, StoreThatIsSetBackTakesNoNodeBackAndIsRepaired) {
   Fleet fleet(makePlan(1, 2));
   CHECK(fleet.start());
-  const auto head = fleet.http.get(fleet.platform, "/v1/tables/test-config/rows/head");
+  const auto head =
+      fleet.http.get(fleet.platform, "/v1/tables/test-config/rows/head");
   const auto moved =
       fleet.command({"domain", "out", "domain-9", "--who", "Night shift"});
-  CHECK_EQUAL(0, fleet.command({"wait", versionIn(moved), "--timeout", "20"}).code);
-  fleet.http.send(fleet.platform, "POST", "/standin/set-row", {},
-                  json{{"table", "test-config"}, {"key", "head"},
-                       {"value", head.body}}
-                      .dump());
+  CHECK_EQUAL(
+      0, fleet.command({"wait", versionIn(moved), "--timeout", "20"}).code);
+  fleet.http.send(
+      fleet.platform, "POST", "/standin/set-row", {},
+      json{{"table", "test-config"}, {"key", "head"}, {"value", head.body}}
+          .dump());
   CHECK(Fleet::waitUntil([&] {
     const auto row =
         fleet.http.get(fleet.platform, "/v1/tables/test-config/rows/head");
@@ -106,7 +111,8 @@
     if (it.err.find("accepted as version") != std::string::npos)
       ++accepted;
     else if (it.code == 1)
-      CHECK_TEXT(it.err.find("another change won: version") != std::string::npos &&
+      CHECK_TEXT(it.err.find("another change won: version") !=
+                         std::string::npos &&
                      it.err.find("asked by") != std::string::npos,
                  it.err.c_str());
     else
--- a/test/fault/WholePathTest.cpp
+++ b/test/fault/WholePathTest.cpp
@@ -49,8 +49,8 @@
   Fleet fleet(makePlan(2, 1));
   CHECK(fleet.start());
   for (const Address &node : fleet.callers()) {
-    const auto answer = fleet.http.send(
-        node, "PUT", "/status/7?x=%20y", {{"X-Request-Id", "my-id"}}, "content");
+    const auto answer = fleet.http.send(node, "PUT", "/status/7?x=%20y",
+                                        {{"X-Request-Id", "my-id"}}, "content");
     CHECK_EQUAL(200, answer.status);
     CHECK(answer.body.starts_with("id=my-id path=/status/7?x=%20y body="));
     STRCMP_EQUAL("my-id", answer.header("X-Request-Id").c_str());
@@ -80,9 +80,14 @@
       {400, "GET", "/status", {{headers::TimeoutMs, "-5"}}, ""},
       {400, "POST", "/release", {}, "no key"},
       {403, "GET", "/status", {{headers::Proof, "forged"}}, ""},
-      {403, "GET", "/status",
-       {{headers::Proof, "forged"}, {headers::Time, "1"},
-        {headers::TimeoutMs, "100"}, {headers::Service, "status"}}, ""},
+      {403,
+       "GET",
+       "/status",
+       {{headers::Proof, "forged"},
+        {headers::Time, "1"},
+        {headers::TimeoutMs, "100"},
+        {headers::Service, "status"}},
+       ""},
       {413, "POST", "/status", {}, std::string(1024 * 1024 + 1, 'x')},
       {431, "GET", "/status", {{"X-Long", std::string(17 * 1024, 'x')}}, ""}};
   for (const Case &it : cases) {
@@ -105,8 +110,9 @@
         "GET status\r\nHost: x\r\n\r\n", "\r\n\r\n\r\n"}) {
     const GObjectPtr<GSocketClient> client(g_socket_client_new());
     g_socket_client_set_timeout(client.get(), 5);
-    const GObjectPtr<GSocketConnection> connection(g_socket_client_connect_to_host(
-        client.get(), node.toString().c_str(), node.port, nullptr, nullptr));
+    const GObjectPtr<GSocketConnection> connection(
+        g_socket_client_connect_to_host(client.get(), node.toString().c_str(),
+                                        node.port, nullptr, nullptr));
     GOutputStream *const out =
         g_io_stream_get_output_stream(G_IO_STREAM(connection.get()));
     g_output_stream_write_all(out, raw.data(), raw.size(), nullptr, nullptr,
@@ -154,9 +160,9 @@
     CHECK(fleet.start());
     const auto vm = fleet.vmOf("release");
     const std::string all = HttpClient::exchangeRaw(
-        fleet.vms[vm]->callers,
-        "GET /status/bundle/" + std::to_string(Size) + "?break=3000000" + kind +
-            " HTTP/1.1\r\nHost: x\r\n\r\n");
+        fleet.vms[vm]->callers, "GET /status/bundle/" + std::to_string(Size) +
+                                    "?break=3000000" + kind +
+                                    " HTTP/1.1\r\nHost: x\r\n\r\n");
     CHECK_TEXT(all.starts_with("HTTP/1.1 200"), kind.c_str());
     CHECK_TEXT(all.size() > 1'000'000, kind.c_str());
     CHECK_TEXT(all.size() < Size, kind.c_str());
@@ -177,8 +183,9 @@
   CHECK_EQUAL(0, fleet.targetStats(fleet.vmOf("status")).at("runs").get<int>());
   const auto line = fleet.command({"timeline", "--filter", "domain-out"});
   CHECK(line.out.find("asked by Night shift") != std::string::npos);
-  CHECK_EQUAL(0, fleet.command({"domain", "in", "domain-0", "--who", "Day shift"})
-                     .code);
+  CHECK_EQUAL(
+      0,
+      fleet.command({"domain", "in", "domain-0", "--who", "Day shift"}).code);
   CHECK_EQUAL(0, fleet.command({"wait", "3", "--timeout", "20"}).code);
   CHECK(Fleet::waitUntil([&] {
     fleet.http.get(fleet.callers()[0], "/status");
@@ -193,7 +200,8 @@
   const auto moved = fleet.command(
       {"vm", "out", fleet.vms[vm]->callers.toString(), "--who", "Night shift"});
   CHECK_EQUAL(0, moved.code);
-  CHECK_EQUAL(0, fleet.command({"wait", versionIn(moved), "--timeout", "20"}).code);
+  CHECK_EQUAL(
+      0, fleet.command({"wait", versionIn(moved), "--timeout", "20"}).code);
   for (int n = 0; n < 20; ++n)
     CHECK_EQUAL(200, fleet.http.get(fleet.callers()[0], "/status").status);
   CHECK_EQUAL(0, fleet.targetStats(vm).at("runs").get<int>());
--- a/test/support/FaultFixture.h
+++ b/test/support/FaultFixture.h
@@ -14,7 +14,8 @@
 /** Rules with one idempotent service and one that runs at most once. */
 inline const std::string TwoServices =
     "service status path /status timeout 2s  # Test\n"
-    "service release path /release once key Idempotency-Key timeout 2s  # Test\n";
+    "service release path /release once key Idempotency-Key timeout 2s  # "
+    "Test\n";
 
 /** Targets of both services spread over \p domains failure domains.
  * \param perDomain targets of each service in each of them. */
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -27,17 +27,16 @@
   const GObjectPtr<GSocketListener> listener(g_socket_listener_new());
   const GObjectPtr<GSocketAddress> address(
       g_inet_socket_address_new_from_string(host, port));
-  return g_socket_listener_add_address(listener.get(), address.get(),
-                                       G_SOCKET_TYPE_STREAM,
-                                       G_SOCKET_PROTOCOL_TCP, nullptr, nullptr,
-                                       nullptr) != FALSE;
+  return g_socket_listener_add_address(
+             listener.get(), address.get(), G_SOCKET_TYPE_STREAM,
+             G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, nullptr) != FALSE;
 }
 
 } // namespace
 
 Address freeAddress() {
-  // Below the range that the kernel takes for outgoing connections, one of which
-  // could otherwise take the port before the process that is to have it.
+  // Below the range that the kernel takes for outgoing connections, one of
+  // which could otherwise take the port before the process that is to have it.
   constexpr int FirstPort = 10'000;
   constexpr int LastPort = 32'000;
   static int next = g_random_int_range(FirstPort, LastPort);
--- a/test/support/HttpClient.cpp
+++ b/test/support/HttpClient.cpp
@@ -124,7 +124,8 @@
   std::array<char, BufferBytes> buf;
   gssize n = 0;
   while ((n = g_input_stream_read(g_io_stream_get_input_stream(stream),
-                                  buf.data(), buf.size(), nullptr, nullptr)) > 0)
+                                  buf.data(), buf.size(), nullptr, nullptr)) >
+         0)
     all.append(buf.data(), static_cast<std::size_t>(n));
   return all;
 }
--- a/test/support/MembershipWire.h
+++ b/test/support/MembershipWire.h
@@ -13,7 +13,8 @@
 
 namespace plantainhatch::test {
 
-/** Delivers datagrams at once and in order, but for those that a fault takes. */
+/** Delivers datagrams at once and in order, but for those that a fault takes.
+ */
 class MembershipWire {
 public:
   explicit MembershipWire(std::size_t size) {
