--- a/test/fault/WholePathTest.cpp
+++ b/test/fault/WholePathTest.cpp
@@ -3,8 +3,7 @@
 #include "request/HeaderNames.h"
 #include "standins/Target.h"
 #include "support/FaultFixture.h"
-
-#include <fstream>
+#include "support/ProcessUsage.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -28,19 +27,6 @@
   return digest;
 }
 
-/** The most memory that a process has had resident, in KiB. */
-std::size_t peakResidentKib(int processId) {
-  std::ifstream status("/proc/" + std::to_string(processId) + "/status");
-  std::string word;
-  while (status >> word)
-    if (word == "VmHWM:") {
-      std::size_t kib = 0;
-      status >> kib;
-      return kib;
-    }
-  return 0;
-}
-
 } // namespace
 
 TEST_GROUP(WholePath){};
@@ -150,7 +136,7 @@
   CHECK(got.length == Size);
   STRCMP_EQUAL(expected.c_str(), got.digest.c_str());
   for (const auto &it : fleet.vms)
-    CHECK(peakResidentKib(it->node->id()) < MostKib);
+    CHECK(ProcessUsage(it->node->id()).peakResidentKib() < MostKib);
 }
 
 TEST(WholePath, AnswerThatBreaksOffIsNeverEndedCleanly) {
