Let operators allow a request that was quarantined

Cause: a quarantine could be listed, but not cleared, and nothing that changes the fleet is taken over HTTP. A rule, 'allow request FINGERPRINT', goes through the table like every change and is in force everywhere within seconds.

Shown by CrashingRequest.OperatorsCanListItAndLetItThrough: refused with 503 before the rule, handed over again after it.

--- a/src/node/CrashTask.cpp
+++ b/src/node/CrashTask.cpp
@@ -17,12 +17,18 @@
 
 } // namespace
 
-CrashTask::CrashTask(NodeServices &services, PeerTask &peers)
-    : services(services), peers(peers) {
+CrashTask::CrashTask(NodeServices &services, PeerTask &peers,
+                     const ConfigurationTask &configuration)
+    : services(services), peers(peers), configuration(configuration) {
   expiryTimer.startRepeating(
       ExpiryInterval, [this] { quarantine.expire(NodeServices::now()); });
 }
 
+bool CrashTask::isQuarantined(std::uint64_t fingerprint) const {
+  return quarantine.isQuarantined(fingerprint, NodeServices::now()) &&
+         !configuration.current()->isAllowed(fingerprint);
+}
+
 void CrashTask::onFailure(const Gate &gate, const std::string &bootId,
                           Verdict verdict) {
   if (inquiry && inquiry->bootId == bootId) {
--- a/src/node/CrashTask.h
+++ b/src/node/CrashTask.h
@@ -5,6 +5,7 @@
 #define PLANTAINHATCH_NODE_CRASHTASK_H
 
 #include "connection/Timer.h"
+#include "node/ConfigurationTask.h"
 #include "node/NodeServices.h"
 #include "node/PeerTask.h"
 #include "process/Gate.h"
@@ -36,7 +37,8 @@
   /** Told whether the target has died. Called once. */
   using Verdict = std::function<void(bool didTargetDie)>;
 
-  CrashTask(NodeServices &services, PeerTask &peers);
+  CrashTask(NodeServices &services, PeerTask &peers,
+            const ConfigurationTask &configuration);
 
   /** An exchange with the target of \p gate failed after it was sent. \pre The
    * call that failed is still counted as in flight. */
@@ -49,9 +51,8 @@
   /** Takes in a report or an acknowledgement of another node. */
   void onMessage(const Message &message);
 
-  bool isQuarantined(std::uint64_t fingerprint) const {
-    return quarantine.isQuarantined(fingerprint, NodeServices::now());
-  }
+  /** True if the request must not be handed to a target. */
+  bool isQuarantined(std::uint64_t fingerprint) const;
   /** For status. */
   std::vector<Quarantine::Entry> list() const {
     return quarantine.list(NodeServices::now());
@@ -75,6 +76,7 @@
 
   NodeServices &services;
   PeerTask &peers;
+  const ConfigurationTask &configuration;
   Quarantine quarantine;
   std::unique_ptr<Inquiry> inquiry;
   /** The newest failure that was not found to be a crash. */
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -35,7 +35,7 @@
 
 void Node::makeTasks(AnyPickPolicy policy) {
   configuration = std::make_unique<ConfigurationTask>(services, *peers);
-  crashes = std::make_unique<CrashTask>(services, *peers);
+  crashes = std::make_unique<CrashTask>(services, *peers, *configuration);
   gate = std::make_unique<GateTask>(services, *peers, *configuration, *crashes);
   measure = std::make_unique<MeasureTask>(services, *peers,
                                           [this] { return gate->load(); });
--- a/src/version/Configuration.h
+++ b/src/version/Configuration.h
@@ -51,6 +51,11 @@
    * and port. */
   const VmRule *findVmOut(const Address &address) const;
 
+  /** True if a rule allows a request that is suspected of crashing targets. */
+  bool isAllowed(std::uint64_t fingerprint) const {
+    return allowedRequests.contains(fingerprint);
+  }
+
 private:
   ConfigurationHead versionHead;
   std::string rulesText;
@@ -58,11 +63,15 @@
   std::map<std::string, DomainRule> domainRules;
   std::map<std::string, VmRule> vmRules;
   MeasureRule measureRule;
+  std::set<std::uint64_t> allowedRequests;
 
   void addRule(ServiceRule rule) { serviceRules.push_back(std::move(rule)); }
   void addRule(DomainRule rule);
   void addRule(VmRule rule);
   void addRule(MeasureRule rule) { measureRule = std::move(rule); }
+  void addRule(const AllowRule &rule) {
+    allowedRequests.insert(rule.fingerprint);
+  }
   void sortServices();
 };
 
--- a/src/version/Rule.h
+++ b/src/version/Rule.h
@@ -61,8 +61,17 @@
   std::uint32_t bytesPerSecond = DefaultBytesPerSecond;
 };
 
+/** A request that is handed to targets though it is suspected of crashing them.
+ */
+struct AllowRule {
+  RuleOrigin origin;
+  /** As listed by status. */
+  std::uint64_t fingerprint = 0;
+};
+
 /** Any rule. */
-using Rule = std::variant<ServiceRule, DomainRule, VmRule, MeasureRule>;
+using Rule =
+    std::variant<ServiceRule, DomainRule, VmRule, MeasureRule, AllowRule>;
 
 } // namespace plantainhatch
 
--- a/src/version/RuleLineParser.cpp
+++ b/src/version/RuleLineParser.cpp
@@ -85,14 +85,15 @@
       Keyword{"service", &RuleLineParser::parseService},
       Keyword{"domain", &RuleLineParser::parseDomain},
       Keyword{"vm", &RuleLineParser::parseVm},
-      Keyword{"measure", &RuleLineParser::parseMeasure}};
+      Keyword{"measure", &RuleLineParser::parseMeasure},
+      Keyword{"allow", &RuleLineParser::parseAllow}};
   const Word first = expect("a rule");
   const auto *const it =
       std::ranges::find(Keywords, first.text, &Keyword::name);
   if (it == Keywords.end()) {
     report(first.column,
            inQuotes(first.text) +
-               " is not a rule; use service, domain, vm or measure");
+               " is not a rule; use service, domain, vm, measure or allow");
     parseOrigin();
     return std::nullopt;
   }
@@ -171,6 +172,21 @@
   return rule;
 }
 
+Rule RuleLineParser::parseAllow() {
+  constexpr int Hexadecimal = 16;
+  AllowRule rule;
+  expectKeyword("request");
+  const Word word = expect("a fingerprint, as status lists it");
+  const char *const end = word.text.data() + word.text.size();
+  auto [it, ec] =
+      std::from_chars(word.text.data(), end, rule.fingerprint, Hexadecimal);
+  if (!word.text.empty() && (ec != std::errc() || it != end))
+    report(word.column, inQuotes(word.text) + " is not a fingerprint");
+  expectEnd();
+  rule.origin = parseOrigin();
+  return rule;
+}
+
 RuleOrigin RuleLineParser::parseOrigin() {
   if (line.author.empty())
     report(line.authorColumn,
--- a/src/version/RuleLineParser.h
+++ b/src/version/RuleLineParser.h
@@ -38,6 +38,7 @@
   Rule parseDomain();
   Rule parseVm();
   Rule parseMeasure();
+  Rule parseAllow();
 
   void parseServiceOption(ServiceRule &rule);
   RuleOrigin parseOrigin();
--- a/src/version/RuleParser.h
+++ b/src/version/RuleParser.h
@@ -15,7 +15,7 @@
 
 /** Larger rules files are refused, so that a version always fits a node's
  * memory. */
-inline constexpr std::size_t MaxRulesBytes = 1024 * 1024;
+inline constexpr std::size_t MaxRulesBytes = 1024UL * 1024;
 
 /** Parses \p text, named \p fileName in findings. Pure.
  * \return the rules in their order, or every fault with file, line and column.
--- a/src/version/findDuplicateRules.cpp
+++ b/src/version/findDuplicateRules.cpp
@@ -22,6 +22,9 @@
   std::vector<std::string> operator()(const MeasureRule & /*rule*/) const {
     return {"measure"};
   }
+  std::vector<std::string> operator()(const AllowRule &rule) const {
+    return {"request " + std::to_string(rule.fingerprint)};
+  }
 };
 
 std::size_t lineOf(const Rule &rule) {
--- a/test/error/RuleFaultsTest.cpp
+++ b/test/error/RuleFaultsTest.cpp
@@ -38,6 +38,8 @@
     {"measure rate 5 bytes 8KB/s # T\n", 1, 14, "is not a number of"},
     {"measure rate -5/s bytes 8KB/s # T\n", 1, 14, "is not a number of"},
     {"measure rate 5/s bytes 4194304KB/s # T\n", 1, 24, "too large"},
+    {"allow request xyz # T\n", 1, 15, "is not a fingerprint"},
+    {"allow request 12 34 # T\n", 1, 18, "nothing may follow"},
     {"service a path /a # T\nservice a path /b # T\n", 2, 1,
      "'service a' stands already in line 1"},
     {"service a path /a # T\nservice b path /a # T\n", 2, 1,
--- a/test/fault/CrashingRequestTest.cpp
+++ b/test/fault/CrashingRequestTest.cpp
@@ -32,3 +32,29 @@
               .out.find("deaths of 2 targets") != std::string::npos);
   }
 }
+
+TEST(CrashingRequest, OperatorsCanListItAndLetItThrough) {
+  Fleet fleet(makePlan(1, 3));
+  CHECK(fleet.start());
+  for (int n = 0; n < 2; ++n)
+    fleet.http.send(fleet.callers()[1], "POST", "/status/crash");
+  const Address node = fleet.callers()[1];
+  CHECK_EQUAL(503, fleet.http.send(node, "POST", "/status/crash").status);
+  const auto status =
+      nlohmann::json::parse(fleet.command({"status", "--json"}).out);
+  std::string fingerprint;
+  for (const auto &it : status.at("nodes"))
+    for (const auto &entry : it.at("quarantine"))
+      if (entry.at("quarantined") == true)
+        fingerprint = entry.at("fingerprint");
+  CHECK_FALSE(fingerprint.empty());
+  const std::string rules =
+      TwoServices + "allow request " + fingerprint + "  # Sake desk\n";
+  const auto applied =
+      fleet.command({"apply", fleet.write("allow.txt", rules)});
+  CHECK_EQUAL(0, applied.code);
+  CHECK_EQUAL(
+      0, fleet.command({"wait", versionIn(applied), "--timeout", "20"}).code);
+  // It is handed over again, and does what it did.
+  CHECK_EQUAL(502, fleet.http.send(node, "POST", "/status/crash").status);
+}
