Keep targets that turn cold from falling over

Cause 1: the limit grew after four completions of each slot, and a target that bears 3 calls until its 60th run and dies at one more was handed a fourth at its 12th. Nothing tells from outside when a target is warm, so each cold slot must now bring 64 completions before the limit grows at all. Cause 2: a target that is killed and starts anew listens before it has announced its new start, and got the old limit meanwhile. The node now holds one idle connection to its target; the kernel closes it at the death of the process, and until the next announcement the target gets its cold slots only. Cause 3: each change between cold and warm was news to the whole fleet. At 7,500 members and one change a minute at each target, that alone is 125 updates a second, each sent up to 39 times by every node. The state is now told with the load only, and a target whose gate was never heard counts with its cold slots.

Ruled out: queued calls (admission never passed the limit, by the gate's own count), late announcements of the stand-in.

What it costs: a restarted target of 4 cold slots needs 256 completions before it takes more.

--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -13,7 +13,7 @@
 GateTask::GateTask(NodeServices &services, PeerTask &peers,
                    ConfigurationTask &configuration, CrashTask &crashes)
     : services(services), peers(peers), configuration(configuration),
-      crashes(crashes) {
+      crashes(crashes), sentinel([this] { gate.doubt(); }) {
   tickTimer.startRepeating(TickInterval, [this] { tick(); });
   configuration.onAdopted(
       [this](const ConfigurationPtr & /*before*/) { updateClosure(); });
@@ -55,6 +55,7 @@
   const std::string oldBoot = gate.target().bootId;
   const bool isNewStart = gate.announce(target);
   announcedAt = NodeServices::now();
+  sentinel.watch(target.address);
   if (isNewStart) {
     crashes.onNewStart(oldBoot);
     services.record(EventKind::TargetAnnounced, target.address.toString(),
@@ -133,7 +134,14 @@
   publishTarget();
 }
 
-void GateTask::publishTarget() { peers.setTarget(gate.target()); }
+void GateTask::publishTarget() {
+  // Whether a target is warm changes often, and is told with its load to those
+  // who call it; as news it would go to every node of the fleet.
+  Target published = gate.target();
+  if (published.isServing())
+    published.state = TargetState::Cold;
+  peers.setTarget(published);
+}
 
 void GateTask::recordCut() {
   const LimitCut cut = gate.takeCut();
--- a/src/node/GateTask.h
+++ b/src/node/GateTask.h
@@ -9,6 +9,7 @@
 #include "node/GateCall.h"
 #include "node/NodeServices.h"
 #include "node/PeerTask.h"
+#include "node/TargetSentinel.h"
 #include "process/Gate.h"
 
 #include <boost/intrusive/list.hpp>
@@ -61,8 +62,9 @@
   CallList waiting;
   CallId nextId = 1;
   bool isStopping = false;
-  TimePoint announcedAt{};
+  TimePoint announcedAt;
   Timer tickTimer;
+  TargetSentinel sentinel;
 
   void tick();
   void updateClosure();
--- /dev/null
+++ b/src/node/TargetSentinel.h
@@ -0,0 +1,47 @@
+/** \file
+ * Notices at once that the process of a target has ended. */
+#ifndef PLANTAINHATCH_NODE_TARGETSENTINEL_H
+#define PLANTAINHATCH_NODE_TARGETSENTINEL_H
+
+#include "base/Address.h"
+#include "connection/GObjectPtr.h"
+
+#include <functional>
+#include <memory>
+
+namespace plantainhatch {
+
+/** Holds one idle connection to the target. The kernel closes it at the death
+ * of the target's process, long before a new one can listen at the same
+ * address, so that a new start is suspected before it is announced. Used on the
+ * main loop only. */
+class TargetSentinel {
+public:
+  /** \param onClosed is called when the connection was closed by the target. */
+  explicit TargetSentinel(std::function<void()> onClosed);
+  ~TargetSentinel();
+  TargetSentinel(const TargetSentinel &) = delete;
+  TargetSentinel &operator=(const TargetSentinel &) = delete;
+  TargetSentinel(TargetSentinel &&) = delete;
+  TargetSentinel &operator=(TargetSentinel &&) = delete;
+
+  /** Connects to \p address, unless it is connected there already. */
+  void watch(const Address &address);
+
+private:
+  std::function<void()> onClosed;
+  Address watched;
+  GObjectPtr<GSocketConnection> connection;
+  /** Guards the callback of a connection under way. */
+  std::shared_ptr<TargetSentinel *> alive =
+      std::make_shared<TargetSentinel *>(this);
+
+  void connect();
+  void take(GObjectPtr<GSocketConnection> established);
+  void drop();
+  static void onConnected(GObject *source, GAsyncResult *result, gpointer data);
+};
+
+} // namespace plantainhatch
+
+#endif
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -51,6 +51,7 @@
   const bool wasLeaving =
       currentTarget.state == TargetState::Leaving && !isNewStart;
   currentTarget = target;
+  isDoubted = false;
   if (isNewStart || hasNewSize) {
     gateLimit.start(target.coldSlots, target.slots);
     peak = 0;
@@ -70,6 +71,12 @@
   return true;
 }
 
+unsigned Gate::limit() const {
+  if (!isDoubted)
+    return gateLimit.limit();
+  return std::min<unsigned>(gateLimit.limit(), currentTarget.coldSlots);
+}
+
 void Gate::lose() {
   currentTarget.state = TargetState::Absent;
   gateLimit.onFailed();
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -103,6 +103,10 @@
    * announcing. */
   void lose();
 
+  /** There is a sign that the target may have started anew. Until the next
+   * announcement it gets no more than it bears while cold. */
+  void doubt() { isDoubted = true; }
+
   /** Refuse all new work from now on for this reason; None lifts it. Calls in
    * flight go on. */
   void closeFor(Refusal reason) { closedFor = reason; }
@@ -137,7 +141,7 @@
   const Target &target() const { return currentTarget; }
   unsigned inFlight() const { return static_cast<unsigned>(calls.size()); }
   std::size_t queued() const { return queue.size(); }
-  unsigned limit() const { return gateLimit.limit(); }
+  unsigned limit() const;
   bool isCold() const { return gateLimit.isCold(); }
   LimitCut takeCut() { return gateLimit.takeCut(); }
   /** The most calls that were ever in flight since the target's start. */
@@ -159,6 +163,7 @@
   std::deque<GateRequest> queue;
   Refusal closedFor = Refusal::None;
   unsigned peak = 0;
+  bool isDoubted = false;
 
   Refusal reasonToRefuse(const GateRequest &request, TimePoint now) const;
   bool canMeetDeadline(const GateRequest &request, std::size_t waiting,
--- a/src/process/GateLimit.cpp
+++ b/src/process/GateLimit.cpp
@@ -104,6 +104,12 @@
   return smoothed <= usual * RecoveredFactor || smoothed <= usual + MinSlowStep;
 }
 
+unsigned GateLimit::completionsToGrow() const {
+  const bool isAtColdSlots = current == coldSlots;
+  return current *
+         (isAtColdSlots ? CompletionsPerColdSlot : CompletionsPerSlot);
+}
+
 void GateLimit::grow(unsigned inFlight) {
   if (current >= slots) {
     cold = false;
@@ -113,7 +119,7 @@
   // nothing.
   if (inFlight < current || !isRecovered())
     return;
-  if (++completions < current * CompletionsPerSlot)
+  if (++completions < completionsToGrow())
     return;
   completions = 0;
   ++current;
--- a/src/process/GateLimit.h
+++ b/src/process/GateLimit.h
@@ -28,8 +28,12 @@
  * against what is usual for it. Not thread-safe. */
 class GateLimit {
 public:
-  /** Completions that each unit of the limit must bring before the limit grows
-   * by one. */
+  /** Completions that each cold slot must bring before the limit grows at all.
+   * Nothing tells from outside when a target is warm; one that fell over cannot
+   * be made up for, while slots that come late can. */
+  static constexpr unsigned CompletionsPerColdSlot = 64;
+  /** Completions that each unit of the limit must bring from then on before the
+   * limit grows by one. */
   static constexpr unsigned CompletionsPerSlot = 4;
   /** A completion is slow if it took this many times the usual latency. */
   static constexpr unsigned SlowFactor = 4;
@@ -88,6 +92,7 @@
   void learn(Duration latency);
   bool isRecovered() const;
   void grow(unsigned inFlight);
+  unsigned completionsToGrow() const;
 };
 
 } // namespace plantainhatch
--- a/src/process/LoadTable.cpp
+++ b/src/process/LoadTable.cpp
@@ -30,10 +30,10 @@
   entry.usedAt = now;
 }
 
-LoadEstimate LoadTable::estimate(const Address &target, unsigned slots,
+LoadEstimate LoadTable::estimate(const Address &target, unsigned assumedLimit,
                                  TimePoint now) const {
   LoadEstimate guess;
-  guess.limit = slots;
+  guess.limit = assumedLimit;
   guess.age = Duration::max();
   const auto it = entries.find(target);
   if (it == entries.end())
--- a/src/process/LoadTable.h
+++ b/src/process/LoadTable.h
@@ -53,8 +53,8 @@
     unsigned sentSinceReport = 0;
     unsigned failures = 0;
     LoadReport report;
-    TimePoint reportedAt{};
-    TimePoint usedAt{};
+    TimePoint reportedAt;
+    TimePoint usedAt;
   };
   std::map<Address, Entry> entries;
 };
--- a/src/request/makeChoices.cpp
+++ b/src/request/makeChoices.cpp
@@ -11,11 +11,6 @@
          configuration.findVmOut(member.target.address) != nullptr;
 }
 
-/** What stands for the limit of a target whose gate was never heard. */
-unsigned assumedLimit(const Target &target) {
-  return target.state == TargetState::Cold ? target.coldSlots : target.slots;
-}
-
 Choice toChoice(const FleetView &view, const Member &member, TimePoint now) {
   const Member &self = view.membership.self();
   Choice choice;
@@ -24,8 +19,8 @@
   choice.isLocalNode = member.peers == self.peers;
   choice.isLocalDomain = member.failureDomain == self.failureDomain;
   choice.isSuspect = member.liveness == Liveness::Suspect;
-  choice.load =
-      view.loads.estimate(member.peers, assumedLimit(member.target), now);
+  // A target whose gate was never heard gets no more than it bears while cold.
+  choice.load = view.loads.estimate(member.peers, member.target.coldSlots, now);
   return choice;
 }
 
--- a/test/correctness/GateTest.cpp
+++ b/test/correctness/GateTest.cpp
@@ -112,6 +112,18 @@
   CHECK_EQUAL(12, gate.limit());
 }
 
+TEST(Gate, DoubtedTargetGetsItsColdSlotsUntilItAnnouncesItself) {
+  gate.announce(makeTarget("a"));
+  warmUp(gate, milliseconds(5), next, now);
+  gate.doubt();
+  CHECK_EQUAL(3, gate.limit());
+  gate.announce(makeTarget("a"));
+  CHECK_EQUAL(12, gate.limit());
+  gate.doubt();
+  gate.announce(makeTarget("b"));
+  CHECK_EQUAL(3, gate.limit());
+}
+
 TEST(Gate, FailureCutsTheLimitAtOnce) {
   gate.announce(makeTarget("a"));
   warmUp(gate, milliseconds(5), next, now);
