Keep a joining node from repeating the whole fleet

Cause: records that came in bulk were queued as news. What a node asked for is no news now; what was pushed to it is, as that is how a seed learns of a joining node.

Ruled out: suspicions at the start (none on the time line).

The in-memory wire now also compares memberships every 10 s as nodes do, since without it two of its tests did not converge; and its tests check that they did.

--- a/src/node/PeerTask.cpp
+++ b/src/node/PeerTask.cpp
@@ -177,7 +177,7 @@
             if (reply == nullptr)
               return;
             const auto missing = members.membersThatDiffer(reply->digests);
-            members.merge(reply->members, NodeServices::now());
+            members.merge(reply->members, false, NodeServices::now());
             if (!missing.empty())
               request(peer, SyncPush{missing}, [](const auto & /*body*/) {});
             publishChanges();
@@ -228,7 +228,7 @@
     return SyncReply{members.digests(),
                      members.membersThatDiffer(sync->digests)};
   if (const auto *const push = std::get_if<SyncPush>(&body)) {
-    members.merge(push->members, NodeServices::now());
+    members.merge(push->members, true, NodeServices::now());
     return PushReply{};
   }
   if (!listeners.configuration)
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -90,7 +90,7 @@
     return;
   Member suspected = it->second;
   suspected.liveness = Liveness::Suspect;
-  store(std::move(suspected), now);
+  store(std::move(suspected), true, now);
 }
 
 void Membership::startProbe(TimePoint now, std::vector<Outgoing> &out) {
@@ -138,7 +138,7 @@
   for (const Address &address : expired) {
     Member dead = members.at(address);
     dead.liveness = Liveness::Dead;
-    store(std::move(dead), now);
+    store(std::move(dead), true, now);
   }
 }
 
@@ -162,7 +162,7 @@
   std::vector<Outgoing> out;
   lastHeardAt = now;
   for (const Member &member : message.members)
-    mergeMember(member, now);
+    mergeMember(member, true, now);
   for (const Verdict &verdict : message.verdicts)
     mergeVerdict(verdict, now);
   if (const auto *const ping = std::get_if<Ping>(&message.body))
@@ -240,12 +240,13 @@
   announceSelf();
 }
 
-void Membership::merge(const std::vector<Member> &records, TimePoint now) {
+void Membership::merge(const std::vector<Member> &records, bool isNews,
+                       TimePoint now) {
   for (const Member &member : records)
-    mergeMember(member, now);
+    mergeMember(member, isNews, now);
 }
 
-void Membership::mergeMember(const Member &member, TimePoint now) {
+void Membership::mergeMember(const Member &member, bool isNews, TimePoint now) {
   if (member.peers == selfMember.peers) {
     if (member.rank() > selfMember.rank())
       refute(member.generation, member.incarnation);
@@ -253,7 +254,7 @@
   }
   const auto it = members.find(member.peers);
   if (it == members.end() || member.rank() > it->second.rank())
-    store(member, now);
+    store(member, isNews, now);
 }
 
 void Membership::mergeVerdict(const Verdict &verdict, TimePoint now) {
@@ -269,10 +270,10 @@
   Member judged = it->second;
   judged.incarnation = verdict.incarnation;
   judged.liveness = verdict.liveness;
-  store(std::move(judged), now);
+  store(std::move(judged), true, now);
 }
 
-void Membership::store(Member member, TimePoint now) {
+void Membership::store(Member member, bool isNews, TimePoint now) {
   const Address address = member.peers;
   MemberChange change{std::nullopt, member};
   if (const auto it = members.find(address); it != members.end())
@@ -280,7 +281,8 @@
   members[address] = std::move(member);
   updatePresence(change.after);
   updateDeadlines(change.after, now);
-  news.enqueue(address);
+  if (isNews)
+    news.enqueue(address);
   changes.push_back(std::move(change));
 }
 
--- a/src/process/Membership.h
+++ b/src/process/Membership.h
@@ -70,8 +70,10 @@
    * for a tick. */
   std::vector<Outgoing> makeNotices();
 
-  /** Merges records received in bulk. */
-  void merge(const std::vector<Member> &members, TimePoint now);
+  /** Merges records received in bulk. \param isNews is whether they are to be
+   * spread. What a node asked for is not, as a node that joins would otherwise
+   * repeat the whole fleet; what was pushed to it is. */
+  void merge(const std::vector<Member> &members, bool isNews, TimePoint now);
 
   /** A member picked at random among those present, or nothing if this node is
    * alone. */
@@ -130,11 +132,11 @@
   std::uint64_t nextSequence = 1;
   unsigned localHealth = 0;
   bool pauseSeen = false;
-  TimePoint lastTick{};
-  TimePoint nextProbeAt{};
-  TimePoint nextGossipAt{};
-  TimePoint nextDeadProbeAt{};
-  TimePoint lastHeardAt{};
+  TimePoint lastTick;
+  TimePoint nextProbeAt;
+  TimePoint nextGossipAt;
+  TimePoint nextDeadProbeAt;
+  TimePoint lastHeardAt;
 
   void notePause(TimePoint now);
   void continueProbe(TimePoint now, std::vector<Outgoing> &out);
@@ -147,9 +149,9 @@
   void onAck(const Ack &ack, TimePoint now, std::vector<Outgoing> &out);
   void onPingRequest(const PingRequest &request, const Address &sender,
                      TimePoint now, std::vector<Outgoing> &out);
-  void mergeMember(const Member &member, TimePoint now);
+  void mergeMember(const Member &member, bool isNews, TimePoint now);
   void mergeVerdict(const Verdict &verdict, TimePoint now);
-  void store(Member member, TimePoint now);
+  void store(Member member, bool isNews, TimePoint now);
   void refute(std::uint64_t generation, std::uint64_t incarnation);
   void announceSelf();
   void updatePresence(const Member &member);
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -18,7 +18,7 @@
 
 TEST(Membership, KilledMemberIsFoundDeadByAll) {
   MembershipWire wire(12);
-  wire.runUntil([&] { return wire.doAllSee(12); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(12); }, seconds(30)));
   wire.stop(3);
   CHECK(wire.runUntil([&] { return wire.doAllSee(11); }, seconds(30)));
   wire.forEachOther(3, [&](const Membership &it) {
@@ -28,7 +28,7 @@
 
 TEST(Membership, ThirtyPercentLossEvictsNobody) {
   MembershipWire wire(20);
-  wire.runUntil([&] { return wire.doAllSee(20); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(20); }, seconds(30)));
   wire.lossPercent = 30;
   unsigned deaths = 0;
   wire.onChange = [&](const MemberChange &change) {
@@ -45,7 +45,7 @@
 
 TEST(Membership, OneWayCutEvictsNobodyWhoCanBeReachedThroughOthers) {
   MembershipWire wire(10);
-  wire.runUntil([&] { return wire.doAllSee(10); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(10); }, seconds(30)));
   unsigned deaths = 0;
   wire.onChange = [&](const MemberChange &change) {
     if (change.after.liveness == Liveness::Dead)
@@ -60,7 +60,7 @@
 
 TEST(Membership, FrozenMemberIsBuriedAndReturnsWithNewTruth) {
   MembershipWire wire(8);
-  wire.runUntil([&] { return wire.doAllSee(8); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(8); }, seconds(30)));
   wire.freeze(2);
   CHECK(wire.runUntil([&] { return wire.doOthersSee(2, 7); }, seconds(30)));
   wire.stop(5);
@@ -78,7 +78,7 @@
 
 TEST(Membership, ReplacedVmAtTheSameAddressIsANewMember) {
   MembershipWire wire(6);
-  wire.runUntil([&] { return wire.doAllSee(6); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(6); }, seconds(30)));
   wire.replace(4, 100);
   CHECK(wire.runUntil(
       [&] { return wire.member(0).find(wire.address(4))->generation == 100; },
@@ -87,7 +87,7 @@
 
 TEST(Membership, ProcessWithAClockSetBackStillTakesOverItsAddress) {
   MembershipWire wire(6);
-  wire.runUntil([&] { return wire.doAllSee(6); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(6); }, seconds(30)));
   const auto old = wire.member(4).self().generation;
   wire.replace(4, 0);
   CHECK(wire.runUntil(
@@ -100,23 +100,23 @@
 
 TEST(Membership, LateNewsOfAnOldLifeChangesNothing) {
   MembershipWire wire(3);
-  wire.runUntil([&] { return wire.doAllSee(3); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(3); }, seconds(30)));
   Member old = wire.member(1).self();
   wire.replace(1, 50);
   wire.runUntil(
       [&] { return wire.member(0).find(wire.address(1))->generation == 50; },
       seconds(30));
-  wire.member(0).merge({old}, wire.now());
+  wire.member(0).merge({old}, true, wire.now());
   old.liveness = Liveness::Dead;
   old.incarnation = 1000;
-  wire.member(0).merge({old}, wire.now());
+  wire.member(0).merge({old}, true, wire.now());
   CHECK(wire.member(0).find(wire.address(1))->liveness == Liveness::Alive);
   CHECK_EQUAL(50, wire.member(0).find(wire.address(1))->generation);
 }
 
 TEST(Membership, LeavingMemberIsKnownToAllWithoutASuspicion) {
   MembershipWire wire(30);
-  wire.runUntil([&] { return wire.doAllSee(30); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(30); }, seconds(30)));
   wire.member(9).leave();
   CHECK(wire.runUntil([&] { return wire.doOthersSee(9, 29); }, seconds(3)));
   wire.forEachOther(9, [&](const Membership &it) {
@@ -126,7 +126,7 @@
 
 TEST(Membership, PartsOfACutFleetMeetAgain) {
   MembershipWire wire(10);
-  wire.runUntil([&] { return wire.doAllSee(10); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(10); }, seconds(30)));
   wire.isCut = [](std::size_t from, std::size_t to) {
     return (from < 5) != (to < 5);
   };
@@ -137,7 +137,7 @@
 
 TEST(Membership, DifferingBucketsAreFoundAndEqualOnesAreNotSent) {
   MembershipWire wire(15);
-  wire.runUntil([&] { return wire.doAllSee(15); }, seconds(30));
+  CHECK(wire.runUntil([&] { return wire.doAllSee(15); }, seconds(30)));
   wire.run(seconds(20));
   CHECK(wire.member(0).membersThatDiffer(wire.member(1).digests()).empty());
   wire.member(1).setTarget({"s", {"127.0.0.1", 5}, 1, 1, 1, "b", "", {}});
@@ -146,3 +146,15 @@
   CHECK_FALSE(differing.empty());
   CHECK(differing.size() < 5);
 }
+
+TEST(Membership, JoiningNodeSpreadsItselfAndNotTheWholeFleet) {
+  MembershipWire wire(40);
+  CHECK(wire.runUntil([&] { return wire.doAllSee(40); }, seconds(30)));
+  wire.run(seconds(60));
+  wire.replace(7, 100);
+  CHECK(wire.member(7).presentCount() == 40);
+  CHECK_EQUAL(1, wire.member(7).pendingUpdates());
+  CHECK(wire.runUntil(
+      [&] { return wire.member(30).find(wire.address(7))->generation == 100; },
+      seconds(10)));
+}
--- a/test/support/MembershipWire.h
+++ b/test/support/MembershipWire.h
@@ -90,6 +90,7 @@
   std::vector<Node> nodes;
   std::mt19937_64 random{99};
   TimePoint time{std::chrono::hours(1)};
+  std::size_t steps = 0;
 
   Node makeNode(std::size_t n, std::uint64_t generation) {
     Member self;
@@ -100,25 +101,44 @@
     return {std::make_unique<Membership>(self, n + 1), false};
   }
 
-  /** Exchanges whole memberships with the first node, as over TCP. */
-  void join(std::size_t n) {
-    const std::size_t seed = n == 0 ? 1 : 0;
+  static constexpr std::chrono::seconds SyncInterval{10};
+
+  void join(std::size_t n) { sync(n, n == 0 ? 1 : 0); }
+
+  /** Exchanges what differs. */
+  void sync(std::size_t n, std::size_t seed) {
     const auto theirs = member(seed).membersThatDiffer(member(n).digests());
     const auto ours = member(n).membersThatDiffer(member(seed).digests());
-    member(n).merge(theirs, time);
-    member(seed).merge(ours, time);
+    member(n).merge(theirs, false, time);
+    member(seed).merge(ours, true, time);
   }
 
   void step() {
     time += Membership::TickInterval;
+    ++steps;
     for (std::size_t n = 0; n < nodes.size(); ++n) {
       if (nodes[n].isStopped)
         continue;
       deliver(n, member(n).tick(time));
       takeChanges(n);
+      syncInTurn(n);
     }
   }
 
+  void syncInTurn(std::size_t n) {
+    constexpr auto Every =
+        static_cast<std::size_t>(SyncInterval / Membership::TickInterval);
+    if ((steps + n * Every / nodes.size()) % Every != 0)
+      return;
+    const auto peer = member(n).pickRandomPeer();
+    if (!peer)
+      return;
+    const std::size_t to = peer->port - 1000;
+    const bool isCutOff = isCut && (isCut(n, to) || isCut(to, n));
+    if (!nodes[to].isStopped && !isCutOff)
+      sync(n, to);
+  }
+
   void takeChanges(std::size_t n) {
     for (const MemberChange &change : member(n).takeChanges())
       if (onChange)
--- a/tools/measure/Decisions.cpp
+++ b/tools/measure/Decisions.cpp
@@ -70,7 +70,7 @@
     std::vector<Member> records;
     for (std::size_t n = 1; n < members; ++n)
       records.push_back(makeMember(n, services));
-    membership.merge(records, now);
+    membership.merge(records, false, now);
     for (const MemberChange &change : membership.takeChanges())
       index.update(change.after);
     index.update(membership.self());
@@ -131,27 +131,30 @@
     loads.onReport(addressOf(n, 7101), {1, 3, 12, 4000}, view.now);
   const auto configuration = Configuration::makeEmpty();
   const FleetView fleet{view.membership, view.index, *configuration, loads};
-  table.add("pick, us", static_cast<double>(members),
-            timeOf(5000, [&](unsigned n) {
-              const auto choices =
-                  makeChoices(fleet, "service-" + std::to_string(n % services),
-                              {}, view.now);
-              policy.pick(choices, random);
-            }));
+  table.add(
+      "pick, us", static_cast<double>(members), timeOf(5000, [&](unsigned n) {
+        const auto choices = makeChoices(
+            fleet, "service-" + std::to_string(n % services), {}, view.now);
+        policy.pick(choices, random);
+      }));
 }
 
 std::string rulesFor(std::size_t services) {
   std::string text;
   for (std::size_t n = 0; n < services; ++n)
     text += "service service-" + std::to_string(n) + " path /service-" +
-            std::to_string(n) + " timeout 2s  # Team " + std::to_string(n % 40) +
-            "\n";
+            std::to_string(n) + " timeout 2s  # Team " +
+            std::to_string(n % 40) + "\n";
   return text;
 }
 
 ConfigurationHead headOf(std::uint64_t version, const std::string &text) {
-  return {version, digestOf(text), "7ebb6e2b-c1a5-47d7-bb47-db30ba2f5433",
-          "Night shift", "domain region-1 out", 0};
+  return {version,
+          digestOf(text),
+          "7ebb6e2b-c1a5-47d7-bb47-db30ba2f5433",
+          "Night shift",
+          "domain region-1 out",
+          0};
 }
 
 void measureConfiguration(Table &table, std::size_t members) {
