--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,13 @@
 PACKAGES := build-essential cmake pkg-config git \
   libglib2.0-dev libcereal-dev libboost1.81-dev libsoup-3.0-dev libpopt-dev \
   libgoogle-glog-dev libcpputest-dev nlohmann-json3-dev \
-  clang-format-14 clang-tidy-19
+  clang-format-14 clang-tidy-19 clang-19 libclang-rt-19-dev
 BUILD := build
 JOBS := $(shell nproc)
 SUDO := $(if $(filter 0,$(shell id -u)),,sudo)
 SOURCES = $(shell git ls-files '*.h' '*.cpp')
 
-.PHONY: setup build demo test format format-check lint performance capacity clean
+.PHONY: setup build demo test fuzz format format-check lint performance capacity clean
 
 # Installs what is missing, and nothing if all is there.
 setup:
@@ -31,8 +31,17 @@
 test: build
 	cd $(BUILD) && ctest --output-on-failure
 
+# A bounded number of runs from a fixed seed, so that the verdict is the same
+# each time.
+fuzz: setup
+	@cmake -S test/fuzz -B $(BUILD)-fuzz -DCMAKE_CXX_COMPILER=clang++-19 > /dev/null
+	@$(MAKE) --no-print-directory -s -C $(BUILD)-fuzz -j$(JOBS)
+	$(BUILD)-fuzz/RuleParserFuzz -runs=60000 -seed=1 -max_len=400 -verbosity=0
+	$(BUILD)-fuzz/MessageFuzz -runs=60000 -seed=1 -max_len=600 -verbosity=0
+
 performance: build
 	$(BUILD)/bin/measure-added-latency
+	$(BUILD)/bin/measure-picks
 
 capacity: build
 	$(BUILD)/bin/measure-decisions
--- a/src/base/TokenBucket.h
+++ b/src/base/TokenBucket.h
@@ -31,7 +31,7 @@
   double rate;
   double capacity;
   double tokens;
-  TimePoint refilledAt{};
+  TimePoint refilledAt;
 
   void refill(TimePoint now);
 };
--- a/src/connection/BulkClient.cpp
+++ b/src/connection/BulkClient.cpp
@@ -42,7 +42,7 @@
 void onConnected(GObject *source, GAsyncResult *result, gpointer data) {
   const std::unique_ptr<std::shared_ptr<BulkOperation>> owned(
       static_cast<std::shared_ptr<BulkOperation> *>(data));
-  const std::shared_ptr<BulkOperation> operation = *owned;
+  const std::shared_ptr<BulkOperation> &operation = *owned;
   operation->connection.reset(
       g_socket_client_connect_finish(G_SOCKET_CLIENT(source), result, nullptr));
   if (operation->connection)
--- a/src/connection/Exchange.cpp
+++ b/src/connection/Exchange.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr gsize ChunkBytes = 64 * 1024;
+constexpr gsize ChunkBytes = 64UL * 1024;
 
 struct GUriUnref {
   void operator()(GUri *uri) const { g_uri_unref(uri); }
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -20,10 +20,10 @@
 public:
   using Handler = std::function<void(const IncomingCallPtr &)>;
 
-  static constexpr std::size_t MaxHeaderBytes = 16 * 1024;
+  static constexpr std::size_t MaxHeaderBytes = 16UL * 1024;
   /** Bodies of requests are held in memory, as they may have to be sent again.
    */
-  static constexpr std::size_t MaxBodyBytes = 1024 * 1024;
+  static constexpr std::size_t MaxBodyBytes = 1024UL * 1024;
 
   /** Listens. \return the server, or a finding for \p field if the address
    * cannot be used. */
--- a/src/connection/IncomingCall.cpp
+++ b/src/connection/IncomingCall.cpp
@@ -79,8 +79,8 @@
   GSocket *const socket = soup_server_message_get_socket(message.get());
   if (socket == nullptr)
     return;
-  // The library reads nothing while a message is paused, so it would not see the
-  // caller go.
+  // The library reads nothing while a message is paused, so it would not see
+  // the caller go.
   watchedFd = g_socket_get_fd(socket);
   HangupWatcher::instance().watch(watchedFd, this, [this] { onHangup(); });
 }
--- a/src/connection/TimerQueue.h
+++ b/src/connection/TimerQueue.h
@@ -11,8 +11,8 @@
 
 namespace plantainhatch {
 
-/** One source of the main loop that wakes up for the earliest timer. Used on the
- * main loop's thread only. */
+/** One source of the main loop that wakes up for the earliest timer. Used on
+ * the main loop's thread only. */
 class TimerQueue {
 public:
   static TimerQueue &instance();
@@ -27,11 +27,13 @@
     using type = TimePoint;
     const TimePoint &operator()(const Timer &timer) const { return timer.due; }
   };
-  using Hook = boost::intrusive::member_hook<
-      Timer, boost::intrusive::set_member_hook<>, &Timer::hook>;
-  using Queue = boost::intrusive::multiset<
-      Timer, Hook, boost::intrusive::key_of_value<DueOf>,
-      boost::intrusive::constant_time_size<false>>;
+  using Hook =
+      boost::intrusive::member_hook<Timer, boost::intrusive::set_member_hook<>,
+                                    &Timer::hook>;
+  using Queue =
+      boost::intrusive::multiset<Timer, Hook,
+                                 boost::intrusive::key_of_value<DueOf>,
+                                 boost::intrusive::constant_time_size<false>>;
 
   Queue queue;
   GSource *source;
--- a/src/node/Claim.h
+++ b/src/node/Claim.h
@@ -32,7 +32,7 @@
    */
   static constexpr unsigned MaxTries = 60;
   /** Larger answers are not kept with the claim. */
-  static constexpr std::size_t MaxAnswerBytes = 64 * 1024;
+  static constexpr std::size_t MaxAnswerBytes = 64UL * 1024;
 
   /** Claims \p key for the request. \p receiver is called once. */
   static boost::intrusive_ptr<Claim>
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -58,7 +58,7 @@
   Timer pollTimer;
   Timer tickTimer;
   std::chrono::milliseconds backoff{0};
-  TimePoint notBefore{};
+  TimePoint notBefore;
   bool isReading = false;
   bool isPulling = false;
   bool storeUp = true;
--- a/src/node/GateCall.cpp
+++ b/src/node/GateCall.cpp
@@ -36,6 +36,7 @@
 void GateCall::start() {
   state = State::Sent;
   bootId = task.gate.target().bootId;
+  task.services.metrics.add("gate_handed_over_total");
   const GateCallPtr self(this);
   deadlineTimer.startOnce(handOver.deadline - NodeServices::now(),
                           [self] { self->onDeadline(); });
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -227,7 +227,7 @@
   if (isClaimHeld)
     collect(target, answer.head, answer.source);
   else
-    relay(target, std::move(answer.head), answer.source);
+    relay(target, answer.head, answer.source);
 }
 
 void IngressCall::collect(const Address &target, const AnswerHead &head,
@@ -282,7 +282,7 @@
   end();
 }
 
-void IngressCall::relay(const Address &target, AnswerHead head,
+void IngressCall::relay(const Address &target, const AnswerHead &head,
                         const AnswerSourcePtr &source) {
   const CallPtr self(this);
   AnswerRelay::start(
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -72,7 +72,7 @@
                const AnswerSourcePtr &source);
   void onCollected(const Address &target, const AnswerHead &head,
                    const AnswerSourcePtr &source, Chunk chunk);
-  void relay(const Address &target, AnswerHead head,
+  void relay(const Address &target, const AnswerHead &head,
              const AnswerSourcePtr &source);
 
   void answerSelf(const AnswerAction &answer);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -47,7 +47,7 @@
   Timer countTimer;
   Timer stopTimer;
   std::size_t callsInProgress = 0;
-  TimePoint stopRequestedAt{};
+  TimePoint stopRequestedAt;
   std::function<void()> stopped;
 
   explicit Node(NodeSettings settings) : services(std::move(settings)) {}
--- a/src/node/SeedTask.h
+++ b/src/node/SeedTask.h
@@ -36,7 +36,7 @@
   NodeServices &services;
   PeerTask &peers;
   Timer timer;
-  TimePoint lastReadAt{};
+  TimePoint lastReadAt;
 
   void tick();
   void joinSettings();
--- a/src/node/parseAnnouncement.cpp
+++ b/src/node/parseAnnouncement.cpp
@@ -77,7 +77,7 @@
                   "'" + address + "' is not an IP number with a port");
   if (target.coldSlots > target.slots && target.slots > 0)
     reader.report("coldSlots", "is larger than slots");
-  if (!reader.findings().empty())
+  if (!reader.findings().empty() || !parsed)
     return reader.findings();
   target.address = *parsed;
   return target;
--- a/src/operator/MainLoop.h
+++ b/src/operator/MainLoop.h
@@ -23,7 +23,7 @@
   start([slot](T value) { slot->emplace(std::move(value)); });
   while (!slot->has_value())
     g_main_context_iteration(nullptr, TRUE);
-  return std::move(**slot);
+  return std::move(slot->value());
 }
 
 /** Runs the main loop for a while. */
--- a/src/operator/changeCommands.cpp
+++ b/src/operator/changeCommands.cpp
@@ -52,7 +52,8 @@
                 : "in force already since " + describe(change.head) + "\n"};
   }
   case Kind::Lost:
-    return refused("refused: another change won: " + describe(*change.winner));
+    return refused("refused: another change won: " +
+                   describe(change.winner.value_or(ConfigurationHead{})));
   case Kind::Invalid:
     return {ExitCode::Refused, {}, toString(change.findings)};
   case Kind::NotAccepted:
--- a/src/operator/readCommands.cpp
+++ b/src/operator/readCommands.cpp
@@ -140,7 +140,8 @@
   } while (std::chrono::steady_clock::now() < giveUpAt);
   CommandResult result = refused("not in force everywhere:");
   for (const auto &[node, reason] : lagging)
-    result.messages += "  " + node + " " + reason + "\n";
+    result.messages.append("  ").append(node).append(" ").append(reason).append(
+        "\n");
   if (context.options.isJson)
     result.output =
         json{{"version", *version}, {"lagging", lagging}}.dump() + "\n";
--- a/src/process/FreshnessGuard.h
+++ b/src/process/FreshnessGuard.h
@@ -32,8 +32,8 @@
   bool takePause();
 
 private:
-  TimePoint lastSeen{};
-  TimePoint staleSince{};
+  TimePoint lastSeen;
+  TimePoint staleSince;
   bool isPauseNew = false;
 
   void notice(TimePoint now);
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <numeric>
 #include <ranges>
+#include <sstream>
 
 namespace plantainhatch {
 
@@ -21,10 +22,6 @@
   return labels.empty() ? name : name + "{" + labels + "}";
 }
 
-std::string joined(const std::string &labels, const std::string &label) {
-  return labels.empty() ? label : labels + "," + label;
-}
-
 } // namespace
 
 LatencyHistogram::LatencyHistogram()
@@ -54,8 +51,8 @@
       std::chrono::duration<double>(HighestSeconds));
 }
 
-void LatencyHistogram::print(const std::string &name, const std::string &labels,
-                             std::string &text) const {
+void LatencyHistogram::print(const std::string &name,
+                             std::ostream &text) const {
   double seen = 0;
   for (auto &&cell :
        boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
@@ -63,18 +60,12 @@
     if (n == 0)
       continue;
     seen += n;
-    text +=
-        withLabels(name + "_bucket",
-                   joined(labels, "le=\"" + std::to_string(cell.bin().upper()) +
-                                      "\"")) +
-        " " + std::to_string(static_cast<std::uint64_t>(seen)) + "\n";
+    text << name << "_bucket{le=\"" << cell.bin().upper() << "\"} "
+         << static_cast<std::uint64_t>(seen) << "\n";
   }
-  text += withLabels(name + "_bucket", joined(labels, "le=\"+Inf\"")) + " " +
-          std::to_string(total) + "\n";
-  text += withLabels(name + "_sum", labels) + " " + std::to_string(sumSeconds) +
-          "\n";
-  text +=
-      withLabels(name + "_count", labels) + " " + std::to_string(total) + "\n";
+  text << name << "_bucket{le=\"+Inf\"} " << total << "\n"
+       << name << "_sum " << sumSeconds << "\n"
+       << name << "_count " << total << "\n";
 }
 
 void Metrics::add(const std::string &name, const std::string &labels,
@@ -91,22 +82,20 @@
 }
 
 std::string Metrics::print() const {
-  std::string text;
+  std::ostringstream text;
   for (const auto &[name, values] : counters) {
-    text += "# TYPE " + Prefix + name + " counter\n";
+    text << "# TYPE " << Prefix << name << " counter\n";
     for (const auto &[labels, value] : values)
-      text += withLabels(Prefix + name, labels) + " " + std::to_string(value) +
-              "\n";
-  }
-  for (const auto &[name, value] : gauges) {
-    text += "# TYPE " + Prefix + name + " gauge\n";
-    text += Prefix + name + " " + std::to_string(value) + "\n";
+      text << withLabels(Prefix + name, labels) << " " << value << "\n";
   }
+  for (const auto &[name, value] : gauges)
+    text << "# TYPE " << Prefix << name << " gauge\n"
+         << Prefix << name << " " << value << "\n";
   for (const auto &[name, histogram] : histograms) {
-    text += "# TYPE " + Prefix + name + " histogram\n";
-    histogram.print(Prefix + name, {}, text);
+    text << "# TYPE " << Prefix << name << " histogram\n";
+    histogram.print(Prefix + name, text);
   }
-  return text;
+  return std::move(text).str();
 }
 
 } // namespace plantainhatch
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -8,6 +8,7 @@
 #include <boost/histogram.hpp>
 
 #include <cstdint>
+#include <iosfwd>
 #include <map>
 #include <string>
 
@@ -24,8 +25,7 @@
    * \pre 0 < \p quantile <= 1. */
   Duration quantile(double quantile) const;
   /** Appends Prometheus text. */
-  void print(const std::string &name, const std::string &labels,
-             std::string &text) const;
+  void print(const std::string &name, std::ostream &text) const;
 
 private:
   using Axis =
--- a/test/standins/Caller.h
+++ b/test/standins/Caller.h
@@ -4,8 +4,8 @@
 #define PLANTAINHATCH_TEST_STANDINS_CALLER_H
 
 #include "base/Address.h"
-#include "connection/HttpSession.h"
 #include "base/Time.h"
+#include "connection/HttpSession.h"
 
 #include <nlohmann/json.hpp>
 
--- a/test/standins/Target.cpp
+++ b/test/standins/Target.cpp
@@ -122,6 +122,7 @@
   options.serviceMs = order.value("serviceMs", options.serviceMs);
   options.sheds = order.value("sheds", options.sheds);
   options.closesReused = order.value("closesReused", options.closesReused);
+  options.breaksAll = order.value("breaksAll", options.breaksAll);
   options.switchMs = order.value("switchMs", options.switchMs);
   if (options.switchMs > 0)
     switchTimer.startRepeating(std::chrono::milliseconds(options.switchMs),
@@ -144,6 +145,10 @@
     return;
   }
   countRun(request);
+  if (options.breaksAll) {
+    call->abort();
+    return;
+  }
   if (request.target.find("crash") != std::string::npos)
     _exit(1);
   ++running;
--- a/test/standins/Target.h
+++ b/test/standins/Target.h
@@ -39,6 +39,8 @@
   bool sheds = false;
   /** Closes a connection that is used again, before it answers. */
   bool closesReused = false;
+  /** Closes every connection without an answer. */
+  bool breaksAll = false;
   /** Switches between fast and ten times slower at this interval; 0 for never.
    */
   unsigned switchMs = 0;
--- a/tools/measure/AddedLatency.cpp
+++ b/tools/measure/AddedLatency.cpp
@@ -51,7 +51,8 @@
 }
 
 FleetPlan makeMeasuredPlan() {
-  FleetPlan plan = makePlan(1, 1, {"--service-ms", std::to_string(ServiceMs), "--steady"});
+  FleetPlan plan =
+      makePlan(1, 1, {"--service-ms", std::to_string(ServiceMs), "--steady"});
   for (VmPlan &vm : plan.vms)
     vm.coldSlots = vm.slots;
   return plan;
@@ -64,8 +65,8 @@
       measure({fleet.vms[fleet.vmOf("status")]->target}, CalibrationRate, 9);
   const Duration sum = std::accumulate(report.latencies.begin(),
                                        report.latencies.end(), Duration{});
-  const double mean = toMs(sum) / 1000 /
-                      static_cast<double>(report.latencies.size());
+  const double mean =
+      toMs(sum) / 1000 / static_cast<double>(report.latencies.size());
   return Slots / mean;
 }
 
@@ -78,7 +79,8 @@
             << std::left << std::setw(34) << "" << std::right << std::setw(9)
             << "p50 ms" << std::setw(9) << "added" << std::setw(9) << "p99 ms"
             << std::setw(9) << "added" << std::setw(9) << "calls"
-            << std::setw(8) << "lost" << "\n";
+            << std::setw(8) << "lost"
+            << "\n";
   const auto direct = measure({fleet.vms[local]->target}, rate, 1);
   printRow("target called directly", direct, direct);
   const ProcessUsage gateBefore(fleet.vms[local]->node->id());
--- a/tools/measure/Control.cpp
+++ b/tools/measure/Control.cpp
@@ -19,6 +19,8 @@
 
 constexpr double TargetMembers = 7500;
 constexpr std::chrono::seconds MeasuredTime{10};
+/** News of the start is spread by then. */
+constexpr std::chrono::seconds SettleTime{12};
 /** Ten times the changes of a day of 25,000. */
 constexpr std::chrono::milliseconds ChangeInterval{345};
 constexpr double BytesPerKilobyte = 1024;
@@ -89,6 +91,7 @@
 }
 
 void measureIdle(Fleet &fleet, Table &table, double size) {
+  g_usleep(std::chrono::microseconds(SettleTime).count());
   const Totals from = readTotals(fleet);
   const TimePoint start = std::chrono::steady_clock::now();
   g_usleep(std::chrono::microseconds(MeasuredTime).count());
@@ -102,8 +105,8 @@
 /** Seconds from an accepted change until the last node has adopted it, by the
  * time line. */
 double changeTime(Fleet &fleet, bool isOut) {
-  const auto moved = fleet.command({"domain", isOut ? "out" : "in", "domain-x",
-                                    "--who", "Measurement"});
+  const auto moved = fleet.command(
+      {"domain", isOut ? "out" : "in", "domain-x", "--who", "Measurement"});
   const std::string version = versionIn(moved);
   fleet.command({"wait", version, "--timeout", "60"});
   const auto history = json::parse(fleet.command({"history", "--json"}).out);
@@ -152,10 +155,9 @@
   for (std::size_t n = 0; n < killed; ++n) {
     from.sentBytes -= fleet.metric(n, "control_bytes_total", "sent");
     from.receivedBytes -= fleet.metric(n, "control_bytes_total", "received");
-    from.cpuSeconds -=
-        std::chrono::duration<double>(
-            ProcessUsage(fleet.vms[n]->node->id()).cpu())
-            .count();
+    from.cpuSeconds -= std::chrono::duration<double>(
+                           ProcessUsage(fleet.vms[n]->node->id()).cpu())
+                           .count();
     from.controlCpuSeconds -=
         fleet.metric(n, "control_cpu_nanoseconds_total") / 1e9;
   }
--- /dev/null
+++ b/tools/measure/Picks.cpp
@@ -0,0 +1,118 @@
+/** \file
+ * Compares the policies that pick targets, on the same fleet, load and seeds.
+ */
+#include "standins/Caller.h"
+#include "support/FaultFixture.h"
+
+#include <csignal>
+#include <iomanip>
+#include <iostream>
+
+namespace {
+
+using namespace plantainhatch;
+using namespace plantainhatch::test;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds WarmTime{1'500};
+constexpr std::chrono::milliseconds RunTime{4'000};
+constexpr double ServiceMs = 40;
+constexpr unsigned Slots = 12;
+constexpr unsigned Targets = 5;
+constexpr double StragglerFactor = 10;
+constexpr unsigned SwitchMs = 50;
+
+/** One situation that policies are compared in. */
+struct Situation {
+  const char *name;
+  /** Share of the slots of all targets that the load would keep busy. */
+  double share;
+  bool hasStraggler;
+  bool hasSwitching;
+};
+
+constexpr Situation Situations[] = {
+    {"even, 60%", 0.6, false, false},      {"even, 75%", 0.75, false, false},
+    {"even, 90%", 0.9, false, false},      {"straggler, 60%", 0.6, true, false},
+    {"straggler, 75%", 0.75, true, false}, {"switching, 60%", 0.6, false, true},
+    {"switching, 75%", 0.75, false, true}};
+
+constexpr const char *Policies[] = {"hot-cold", "least-in-flight",
+                                    "round-robin", "random"};
+
+double toMs(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+FleetPlan makeFleetPlan(const std::string &policy, const std::string &measure) {
+  FleetPlan plan;
+  plan.rules = "service status path /status timeout 2s  # Test\n" + measure;
+  for (unsigned n = 0; n < Targets; ++n)
+    plan.vms.push_back({"domain-" + std::to_string(n % 4),
+                        "status",
+                        Slots,
+                        Slots,
+                        220,
+                        {"--service-ms", std::to_string(ServiceMs)}});
+  plan.nodeOptions = {"--policy", policy};
+  return plan;
+}
+
+CallerReport load(Fleet &fleet, double share, std::chrono::milliseconds time,
+                  std::uint64_t seed) {
+  CallerOptions options;
+  options.nodes = fleet.callers();
+  options.rate = share * Targets * Slots / (ServiceMs / 1000);
+  options.duration = time;
+  options.seed = seed;
+  return Caller(options).run();
+}
+
+void printRow(const std::string &situation, const std::string &policy,
+              const CallerReport &report) {
+  std::cout << "| " << situation << " | " << policy << std::fixed
+            << std::setprecision(1);
+  for (const double quantile : {0.5, 0.99, 0.999})
+    std::cout << " | " << toMs(quantileOf(report.latencies, quantile));
+  std::cout << " | " << report.sent << " | " << report.sent - report.answered
+            << " |\n";
+}
+
+void measure(const Situation &situation, const std::string &policy,
+             const std::string &label, const std::string &rule) {
+  Fleet fleet(makeFleetPlan(policy, rule));
+  if (!fleet.start()) {
+    std::cerr << "the fleet did not start\n";
+    return;
+  }
+  if (situation.hasStraggler)
+    fleet.setTarget(0, {{"serviceMs", ServiceMs * StragglerFactor}});
+  if (situation.hasSwitching)
+    fleet.setTarget(0, {{"switchMs", SwitchMs}});
+  load(fleet, situation.share, WarmTime, 1);
+  printRow(situation.name, label, load(fleet, situation.share, RunTime, 2));
+}
+
+void printHead(const std::string &second) {
+  std::cout << "\n| situation | " << second
+            << " | p50 ms | p99 ms | p99.9 ms | calls | not answered |\n"
+               "|---|---|---|---|---|---|---|\n";
+}
+
+} // namespace
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  printHead("policy");
+  for (const Situation &situation : Situations)
+    for (const char *const policy : Policies)
+      measure(situation, policy, policy, "");
+  printHead("budget for measuring");
+  const std::pair<const char *, const char *> budgets[] = {
+      {"0", "measure rate 0/s bytes 0/s  # T\n"},
+      {"5/s", "measure rate 5/s bytes 1KB/s  # T\n"},
+      {"50/s (default)", ""},
+      {"500/s", "measure rate 500/s bytes 96KB/s  # T\n"}};
+  for (const auto &[name, rule] : budgets)
+    measure(Situations[3], "hot-cold", name, rule);
+}
