Refuse enumerators and flags that do not exist in messages

Only members can send such messages, but a member with damaged memory must not take others along.

Before: the fuzzer stopped at 'load of value 46, which is not a valid value for type bool'. The linter's remarks on all files are mended as well.

--- a/src/connection/BulkMessage.h
+++ b/src/connection/BulkMessage.h
@@ -8,7 +8,6 @@
 #include "process/Message.h"
 
 #include <cereal/types/array.hpp>
-#include <cereal/types/optional.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
 
--- a/src/connection/HangupWatcher.cpp
+++ b/src/connection/HangupWatcher.cpp
@@ -17,8 +17,8 @@
 
 HangupWatcher &HangupWatcher::instance() {
   // Never destroyed, as calls may end after it would be.
-  static auto *const watcher = new HangupWatcher;
-  return *watcher;
+  static auto &watcher = *new HangupWatcher;
+  return watcher;
 }
 
 HangupWatcher::HangupWatcher() : epoll(epoll_create1(EPOLL_CLOEXEC)) {
--- a/src/connection/TimerQueue.cpp
+++ b/src/connection/TimerQueue.cpp
@@ -19,8 +19,8 @@
 
 TimerQueue &TimerQueue::instance() {
   // Never destroyed, as timers of static objects may stop after it would be.
-  static auto *const queue = new TimerQueue;
-  return *queue;
+  static auto &queue = *new TimerQueue;
+  return queue;
 }
 
 TimerQueue::TimerQueue() {
--- a/src/operator/MainLoop.h
+++ b/src/operator/MainLoop.h
@@ -11,7 +11,7 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
+#include <vector>
 
 namespace plantainhatch {
 
@@ -19,11 +19,11 @@
  * it has. */
 template <typename T>
 T await(const std::function<void(std::function<void(T)>)> &start) {
-  const auto slot = std::make_shared<std::optional<T>>();
-  start([slot](T value) { slot->emplace(std::move(value)); });
-  while (!slot->has_value())
+  const auto results = std::make_shared<std::vector<T>>();
+  start([results](T value) { results->push_back(std::move(value)); });
+  while (results->empty())
     g_main_context_iteration(nullptr, TRUE);
-  return std::move(slot->value());
+  return std::move(results->front());
 }
 
 /** Runs the main loop for a while. */
--- a/src/process/BoundedSerialization.h
+++ b/src/process/BoundedSerialization.h
@@ -1,13 +1,15 @@
-/** \file
- * Overloads of cereal's loading of strings and vectors that bound what a
- * message can allocate. */
+/** ile
+ * Overloads of cereal's loading that bound what a message can allocate and take
+ * no value that its type does not have. */
 #ifndef PLANTAINHATCH_PROCESS_BOUNDEDSERIALIZATION_H
 #define PLANTAINHATCH_PROCESS_BOUNDEDSERIALIZATION_H
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/cereal.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +33,12 @@
   return n;
 }
 
+/** Throws if an enumerator that was read lies beyond the last one. */
+template <typename Enum> void checkEnum(Enum value, Enum last) {
+  if (value > last)
+    throw cereal::Exception("an enumerator in a message is out of bounds");
+}
+
 } // namespace plantainhatch::internal
 
 namespace cereal {
@@ -70,6 +78,22 @@
   }
 }
 
+/** Writes a flag and, if there is one, the value. */
+template <typename T>
+void save(PortableBinaryOutputArchive &archive, const std::optional<T> &value) {
+  archive(static_cast<std::uint32_t>(value.has_value()));
+  if (value)
+    archive(*value);
+}
+
+/** Reads what save() wrote. */
+template <typename T>
+void load(PortableBinaryInputArchive &archive, std::optional<T> &value) {
+  value.reset();
+  if (plantainhatch::internal::loadCount(archive, 1) == 1)
+    archive(value.emplace());
+}
+
 } // namespace cereal
 
 #endif
--- a/src/process/Member.h
+++ b/src/process/Member.h
@@ -4,6 +4,7 @@
 #define PLANTAINHATCH_PROCESS_MEMBER_H
 
 #include "base/Address.h"
+#include "process/BoundedSerialization.h"
 
 #include <cstdint>
 #include <string>
@@ -48,6 +49,7 @@
   template <typename Archive> void serialize(Archive &archive) {
     archive(service, address, slots, coldSlots, connections, bootId, loadPath,
             state);
+    internal::checkEnum(state, TargetState::Leaving);
   }
 };
 
@@ -80,6 +82,7 @@
   template <typename Archive> void serialize(Archive &archive) {
     archive(peers, callers, failureDomain, generation, incarnation, liveness,
             target);
+    internal::checkEnum(liveness, Liveness::Left);
   }
 };
 
@@ -96,6 +99,7 @@
   /** Serialization hook. */
   template <typename Archive> void serialize(Archive &archive) {
     archive(peers, generation, incarnation, liveness);
+    internal::checkEnum(liveness, Liveness::Left);
   }
 };
 
--- a/test/error/MessageFaultsTest.cpp
+++ b/test/error/MessageFaultsTest.cpp
@@ -106,3 +106,12 @@
       "slots": 4, "connections": 9, "coldSlots": 5, "bootId": "b"})")
                   .has_value());
 }
+
+TEST(MessageFaults, EnumeratorsThatDoNotExistAreNoMessage) {
+  std::string bytes = codec.encode(makeMessage());
+  bytes.resize(bytes.size() - MessageCodec::DigestBytes);
+  CHECK(MessageCodec::decodePayload<Message>(bytes).has_value());
+  // The liveness of the last verdict stands last.
+  bytes.back() = 9;
+  CHECK_FALSE(MessageCodec::decodePayload<Message>(bytes).has_value());
+}
--- a/test/fault/AnswersTest.cpp
+++ b/test/fault/AnswersTest.cpp
@@ -65,6 +65,7 @@
   load(fleet, 60, milliseconds(1000));
   const auto sums = [&](const std::string &name) {
     std::vector<double> values;
+    values.reserve(fleet.vms.size());
     for (std::size_t n = 0; n < fleet.vms.size(); ++n)
       values.push_back(fleet.metric(n, name));
     return values;
@@ -97,14 +98,12 @@
   const auto before1 = fleet.targetStats(fleet.vmOf("status", 1));
   const auto surge = load(fleet, 1200, milliseconds(3000));
   const auto runs = [&](std::size_t place, const json &before) {
-    return fleet.targetStats(fleet.vmOf("status", place))
-               .at("runs")
-               .get<int>() -
-           before.at("runs").get<int>();
+    const json after = fleet.targetStats(fleet.vmOf("status", place));
+    return after.at("runs").get<std::uint64_t>() -
+           before.at("runs").get<std::uint64_t>();
   };
   // Each run has an answer or an unknown outcome; no refusal was run.
-  const auto handed =
-      static_cast<std::uint64_t>(runs(0, before0) + runs(1, before1));
+  const std::uint64_t handed = runs(0, before0) + runs(1, before1);
   CHECK_EQUAL(0, surge.wrong);
   CHECK(surge.notRun > 0);
   CHECK(handed >= surge.answered);
--- a/test/fault/ColdTargetTest.cpp
+++ b/test/fault/ColdTargetTest.cpp
@@ -85,8 +85,7 @@
 }
 
 TEST(ColdTarget, WarmthOfATargetIsNoNewsToTheFleet) {
-  FleetPlan plan = makePlan(1, 1);
-  Fleet fleet(plan);
+  Fleet fleet(makePlan(1, 1));
   CHECK(fleet.start());
   const auto vm = fleet.vmOf("status");
   const auto incarnation = [&] {
