Pick by the expected end alone, and let slow targets be tried again

As soon as all others were above 80% of their slots, the split into hot and cold left only the straggler, though a full fast target ends sooner than an idle slow one. Targets are now compared by latency, the wait for a slot and the hop; one that is known to be full may queue the call at once. A gate's latency that is told halves in each second without completions, since a straggler that got no calls could never show its recovery.

Seeds are joined one after the other, as each join of all 33 seeds would have fetched the whole membership 33 times at 7,500 nodes.

--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -154,7 +154,10 @@
   task.services.metrics.add("attempts_total");
   attempts[choice->peers] = nullptr;
   const auto hasResult = std::make_shared<bool>(false);
-  const AnswerSourcePtr source = handOver(*choice, mayQueue, hasResult);
+  // A target that is known to be full was picked for a wait that is worth it.
+  const bool isFull = choice->utilization() >= 1.0;
+  const AnswerSourcePtr source =
+      handOver(*choice, mayQueue || isFull, hasResult);
   // The gate beside this node may have refused already, and the next attempt at
   // the same target may be under way.
   if (!*hasResult)
--- a/src/node/SeedTask.cpp
+++ b/src/node/SeedTask.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr unsigned MaxRows = 1000;
-constexpr std::size_t Readers = 2;
 
 std::string rowPrefix(const std::string &failureDomain) {
   return failureDomain + "/";
@@ -28,13 +27,13 @@
 
 void SeedTask::tick() {
   const ControlScope scope(services.metrics);
+  joinNext();
   const bool isLonely = peers.membership().presentCount() == 1;
   const TimePoint now = NodeServices::now();
   if (isLonely)
     joinSettings();
   const bool isDue = now - lastReadAt >= Interval &&
-                     isChosen(peers.membership(), "seeds",
-                              std::max<std::size_t>(Readers, RowsPerDomain));
+                     isChosen(peers.membership(), "seeds", RowsPerDomain);
   if (isLonely || isDue)
     read();
 }
@@ -55,14 +54,28 @@
 }
 
 void SeedTask::onRows(const std::vector<Row> &rows) {
+  pendingJoins.clear();
   for (const Row &row : rows) {
     const auto address = Address::parse(row.value);
     if (address && !isLiving(*address))
-      peers.join(*address);
+      pendingJoins.push_back(*address);
   }
+  std::ranges::shuffle(pendingJoins, services.random);
+  joinNext();
   takeRow(rows);
 }
 
+void SeedTask::joinNext() {
+  while (!pendingJoins.empty()) {
+    const Address seed = pendingJoins.back();
+    pendingJoins.pop_back();
+    if (isLiving(seed))
+      continue;
+    peers.join(seed);
+    return;
+  }
+}
+
 void SeedTask::takeRow(const std::vector<Row> &rows) {
   const std::string self = services.settings.peers.toString();
   const std::string prefix = rowPrefix(services.settings.failureDomain);
--- a/src/node/SeedTask.h
+++ b/src/node/SeedTask.h
@@ -15,9 +15,9 @@
 /** Name of the table of seeds, without the cluster. */
 inline constexpr const char *SeedTable = "seeds";
 
-/** Reads the seed rows, joins the nodes they name, and takes over a row of this
- * failure domain that names no living node. Rows only help nodes meet; nothing
- * rests on their truth. */
+/** Reads the seed rows, joins the nodes they name, and takes over a row
+ * of this failure domain that names no living node. Rows only help nodes meet;
+ * nothing rests on their truth. */
 class SeedTask {
 public:
   /** Rows of each failure domain. */
@@ -37,10 +37,14 @@
   PeerTask &peers;
   Timer timer;
   TimePoint lastReadAt;
+  /** Seeds to join one after the other: the first tells of all others, after
+   * which little differs, while a whole membership is large. */
+  std::vector<Address> pendingJoins;
 
   void tick();
   void joinSettings();
   void read();
+  void joinNext();
   void onRows(const std::vector<Row> &rows);
   void takeRow(const std::vector<Row> &rows);
   bool isLiving(const Address &address) const;
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <cmath>
 #include <ranges>
 
 namespace plantainhatch {
@@ -146,7 +147,11 @@
   const auto latencyOf = [&](const Call &call) {
     return call.latency.value_or(now - call.startedAt);
   };
-  Duration expected = gateLimit.latency();
+  const std::chrono::duration<double> idle = now - completedAt;
+  const double decay =
+      std::exp2(-idle / std::chrono::duration<double>(LatencyHalfLife));
+  auto expected = std::chrono::duration_cast<Duration>(
+      gateLimit.latency() * std::clamp(decay, 0.0, 1.0));
   for (const Call &call : calls | std::views::values)
     expected = std::max(expected, latencyOf(call));
   return expected;
@@ -196,6 +201,7 @@
     return;
   switch (outcome) {
   case GateOutcome::Completed:
+    completedAt = now;
     gateLimit.onCompleted(call.latency.value_or(now - call.startedAt),
                           inFlight());
     break;
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -134,6 +134,10 @@
   /** Fingerprints of the calls in flight. */
   std::vector<std::uint64_t> fingerprintsInFlight() const;
 
+  /** Without completions the latency that is told halves in this time, so that
+   * a target that was slow is tried again. */
+  static constexpr std::chrono::seconds LatencyHalfLife{1};
+
   /** The latency to expect, in which the age of the oldest call in flight
    * counts, so that a stalled target shows before any call completes. */
   Duration expectedLatency(TimePoint now) const;
@@ -164,6 +168,7 @@
   Refusal closedFor = Refusal::None;
   unsigned peak = 0;
   bool isDoubted = false;
+  TimePoint completedAt;
 
   Refusal reasonToRefuse(const GateRequest &request, TimePoint now) const;
   bool canMeetDeadline(const GateRequest &request, std::size_t waiting,
--- a/src/request/CallDecision.h
+++ b/src/request/CallDecision.h
@@ -42,7 +42,7 @@
 public:
   static constexpr unsigned MaxRefusals = 4;
   /** Refusals after which a gate may queue the call. */
-  static constexpr unsigned RefusalsBeforeQueue = 2;
+  static constexpr unsigned RefusalsBeforeQueue = 1;
   static constexpr unsigned MaxFailures = 2;
   static constexpr std::chrono::seconds RetryAfter{1};
 
--- a/src/request/HotColdPolicy.cpp
+++ b/src/request/HotColdPolicy.cpp
@@ -41,13 +41,22 @@
   return HotColdPolicy::DomainCost;
 }
 
-/** When a call sent there would end: its latency, stretched by the room that is
- * taken. */
+/** The turns of its slots that a call would wait for there. */
+double turnsToWait(const Choice &choice) {
+  if (choice.load.limit <= 0)
+    return 1;
+  return std::max(0.0, choice.load.inFlight + 1 - choice.load.limit) /
+         choice.load.limit;
+}
+
+/** When a call sent there would end: its latency, after the wait for a slot,
+ * and stretched a little by utilization, which spreads calls over equals. */
 Seconds expectedEnd(const Choice &choice, Seconds mean) {
   const Seconds known =
       hasFreshLatency(choice) ? Seconds(choice.load.latency) : mean;
   const Seconds latency = std::max(known, LeastLatency);
-  return latency * (1.0 + choice.utilization()) + hopCost(choice);
+  const double spread = std::min(choice.utilization(), 1.0);
+  return latency * (1.0 + spread + turnsToWait(choice)) + hopCost(choice);
 }
 
 } // namespace
@@ -56,10 +65,10 @@
                                 std::mt19937_64 &random) {
   const Indices healthy =
       withoutFailing(choices, sample(choices, random), random);
-  const Indices roomy = withRoom(choices, healthy);
-  if (roomy.empty())
-    return leastUtilized(choices, healthy);
-  return fastest(choices, roomy);
+  const Seconds mean = meanLatency(choices, healthy);
+  return std::ranges::min(healthy, {}, [&](std::size_t it) {
+    return expectedEnd(choices[it], mean);
+  });
 }
 
 HotColdPolicy::Indices HotColdPolicy::sample(std::span<const Choice> choices,
@@ -93,27 +102,4 @@
   return healthy;
 }
 
-HotColdPolicy::Indices HotColdPolicy::withRoom(std::span<const Choice> choices,
-                                               const Indices &indices) {
-  Indices roomy;
-  std::ranges::copy_if(indices, std::back_inserter(roomy), [&](std::size_t it) {
-    return choices[it].utilization() < HotUtilization;
-  });
-  return roomy;
-}
-
-std::size_t HotColdPolicy::fastest(std::span<const Choice> choices,
-                                   const Indices &indices) {
-  const Seconds mean = meanLatency(choices, indices);
-  return std::ranges::min(indices, {}, [&](std::size_t it) {
-    return expectedEnd(choices[it], mean);
-  });
-}
-
-std::size_t HotColdPolicy::leastUtilized(std::span<const Choice> choices,
-                                         const Indices &indices) {
-  return std::ranges::min(
-      indices, {}, [&](std::size_t it) { return choices[it].utilization(); });
-}
-
 } // namespace plantainhatch
--- a/src/request/HotColdPolicy.h
+++ b/src/request/HotColdPolicy.h
@@ -12,15 +12,15 @@
 
 namespace plantainhatch {
 
-/** Among targets that have room, picks the one where a call is expected to end
- * first; where none has room, the one with the smallest utilization. Targets of
- * the own failure domain go first while one of them has room. Targets that
- * failed several times in a row are left out, unless so many did that leaving
- * them out would press all load on the rest. After Prequal (NSDI 2024). */
+/** Picks the target where a call is expected to end first: latency as its gate
+ * knows it, the wait for a slot, and the cost of the hop, which puts the own VM
+ * and failure domain first while they have room. A full target that is fast
+ * goes before an idle one that is slow. Targets that failed several times in a
+ * row are left out, unless so many did that leaving them out would press all
+ * load on the rest. After Prequal (NSDI 2024), without its limit on requests in
+ * flight: the gates' counts are exact here. */
 class HotColdPolicy {
 public:
-  /** A target above this share of its limit is hot. */
-  static constexpr double HotUtilization = 0.8;
   /** Failures in a row after which a target is left out. */
   static constexpr unsigned MaxFailures = 2;
   /** One pick in this many also considers targets that are left out, to see
@@ -44,12 +44,6 @@
                         std::mt19937_64 &random);
   static Indices withoutFailing(std::span<const Choice> choices,
                                 Indices indices, std::mt19937_64 &random);
-  static Indices withRoom(std::span<const Choice> choices,
-                          const Indices &indices);
-  static std::size_t fastest(std::span<const Choice> choices,
-                             const Indices &indices);
-  static std::size_t leastUtilized(std::span<const Choice> choices,
-                                   const Indices &indices);
 };
 
 } // namespace plantainhatch
--- a/test/correctness/GateTest.cpp
+++ b/test/correctness/GateTest.cpp
@@ -263,3 +263,13 @@
   gate.answered(1, now + milliseconds(5));
   CHECK(gate.expectedLatency(now + milliseconds(80)) < milliseconds(80));
 }
+
+TEST(Gate, SlowTargetWithoutCallsIsTriedAgain) {
+  gate.announce(makeTarget("a"));
+  gate.admit(makeRequest(1), now);
+  now += milliseconds(400);
+  gate.finish(1, GateOutcome::Completed, now);
+  CHECK(gate.expectedLatency(now) == milliseconds(400));
+  CHECK(gate.expectedLatency(now + 4 * Gate::LatencyHalfLife) <=
+        milliseconds(25));
+}
--- a/tools/measure/Picks.cpp
+++ b/tools/measure/Picks.cpp
@@ -101,12 +101,18 @@
 
 } // namespace
 
-int main() {
+/** \param wanted is a part of the names of the situations to measure. */
+int main(int argc, char **argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  const std::string wanted = argc > 1 ? argv[1] : "";
   printHead("policy");
   for (const Situation &situation : Situations)
     for (const char *const policy : Policies)
-      measure(situation, policy, policy, "");
+      if (std::string_view(situation.name).find(wanted) !=
+          std::string_view::npos)
+        measure(situation, policy, policy, "");
+  if (!wanted.empty())
+    return 0;
   printHead("budget for measuring");
   const std::pair<const char *, const char *> budgets[] = {
       {"0", "measure rate 0/s bytes 0/s  # T\n"},
