--- a/test/standins/Target.cpp
+++ b/test/standins/Target.cpp
@@ -94,8 +94,11 @@
   if (path.starts_with("/standin/"))
     control(call);
   else if (path == "/load")
-    call->reply(200, {{"Content-Type", "application/json"}},
-                json{{"inFlight", running}}.dump());
+    call->reply(
+        200, {{"Content-Type", "application/json"}},
+        json{{"inFlight", options.loadLie < 0 ? static_cast<int>(running)
+                                              : options.loadLie}}
+            .dump());
   else
     run(call);
 }
@@ -122,6 +125,7 @@
   options.serviceMs = order.value("serviceMs", options.serviceMs);
   options.sheds = order.value("sheds", options.sheds);
   options.closesReused = order.value("closesReused", options.closesReused);
+  options.loadLie = order.value("loadLie", options.loadLie);
   options.breaksAll = order.value("breaksAll", options.breaksAll);
   options.switchMs = order.value("switchMs", options.switchMs);
   if (options.switchMs > 0)
--- a/test/standins/Target.h
+++ b/test/standins/Target.h
@@ -41,6 +41,9 @@
   bool closesReused = false;
   /** Closes every connection without an answer. */
   bool breaksAll = false;
+  /** What the load endpoint says in place of the truth; negative for the truth.
+   */
+  int loadLie = -1;
   /** Switches between fast and ten times slower at this interval; 0 for never.
    */
   unsigned switchMs = 0;
