--- a/test/correctness/CallDecisionTest.cpp
+++ b/test/correctness/CallDecisionTest.cpp
@@ -92,7 +92,7 @@
       action = call.onFailed(targets[it], false, Start);
     }
   }
-  CHECK(handedOver <= Calls * 11 / 10 + RetryBudget::Capacity);
+  CHECK(handedOver <= Calls * 1.1 + RetryBudget::Capacity);
 }
 
 TEST(CallDecision, DeadlineBeforeAnyHandOverIsNotRun) {
--- a/test/correctness/ProcessStateTest.cpp
+++ b/test/correctness/ProcessStateTest.cpp
@@ -71,8 +71,8 @@
       budget.trySpend(100, Start + milliseconds(ms));
   // Ten seconds of the rates and one burst of a tenth of a second.
   CHECK(budget.messageCount() <= 505);
-  CHECK(budget.byteCount() <= 4096 * 10 + 410);
-  CHECK(budget.byteCount() >= 4096 * 9);
+  CHECK(budget.byteCount() <= 4096UL * 10 + 410);
+  CHECK(budget.byteCount() >= 4096UL * 9);
   CHECK(budget.refusedCount() > 0);
 }
 
--- a/test/fault/PlatformOutageTest.cpp
+++ b/test/fault/PlatformOutageTest.cpp
@@ -98,6 +98,7 @@
   CHECK(fleet.start());
   std::vector<CommandOutput> results(Operators);
   std::vector<std::thread> threads;
+  threads.reserve(Operators);
   for (int n = 0; n < Operators; ++n)
     threads.emplace_back([&, n] {
       results[static_cast<std::size_t>(n)] =
--- a/test/fault/WholePathTest.cpp
+++ b/test/fault/WholePathTest.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 std::string bundleDigest(std::uint64_t size) {
-  constexpr std::uint64_t Step = 1024 * 1024;
+  constexpr std::uint64_t Step = 1024UL * 1024;
   GChecksum *const checksum = g_checksum_new(G_CHECKSUM_SHA256);
   std::string part(Step, '\0');
   for (std::uint64_t offset = 0; offset < size; offset += Step) {
@@ -74,8 +74,8 @@
         {headers::TimeoutMs, "100"},
         {headers::Service, "status"}},
        ""},
-      {413, "POST", "/status", {}, std::string(1024 * 1024 + 1, 'x')},
-      {431, "GET", "/status", {{"X-Long", std::string(17 * 1024, 'x')}}, ""}};
+      {413, "POST", "/status", {}, std::string(1024UL * 1024 + 1, 'x')},
+      {431, "GET", "/status", {{"X-Long", std::string(17UL * 1024, 'x')}}, ""}};
   for (const Case &it : cases) {
     const auto answer =
         fleet.http.send(node, it.method, it.target, it.headers, it.body);
@@ -124,7 +124,7 @@
 
 TEST(WholePath, LargeBundleStreamsThroughBothHopsWithFlatMemory) {
   constexpr std::uint64_t Size = 512ULL * 1024 * 1024;
-  constexpr std::size_t MostKib = 64 * 1024;
+  constexpr std::size_t MostKib = 64UL * 1024;
   Fleet fleet(makePlan(2, 1));
   CHECK(fleet.start());
   const std::string expected = bundleDigest(Size);
--- a/test/standins/Target.cpp
+++ b/test/standins/Target.cpp
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds AnnounceInterval{500};
-constexpr std::uint64_t BundleChunk = 64 * 1024;
+constexpr std::uint64_t BundleChunk = 64UL * 1024;
 constexpr double ColdFactor = 3;
 constexpr double SlowFactor = 10;
 
--- a/test/support/ChildProcess.cpp
+++ b/test/support/ChildProcess.cpp
@@ -12,6 +12,7 @@
       g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDOUT_SILENCE));
   g_subprocess_launcher_set_stderr_file_path(launcher.get(), logFile.c_str());
   std::vector<const gchar *> argv;
+  argv.reserve(words.size() + 1);
   for (const std::string &word : words)
     argv.push_back(word.c_str());
   argv.push_back(nullptr);
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -186,6 +186,7 @@
                                operatorSettings};
   std::ranges::copy(words, std::back_inserter(all));
   std::vector<const gchar *> argv;
+  argv.reserve(all.size() + 1);
   for (const std::string &word : all)
     argv.push_back(word.c_str());
   argv.push_back(nullptr);
--- a/test/support/HttpClient.cpp
+++ b/test/support/HttpClient.cpp
@@ -83,7 +83,7 @@
 
 HttpClient::Download HttpClient::download(const Address &address,
                                           const std::string &target) {
-  constexpr std::size_t BufferBytes = 64 * 1024;
+  constexpr std::size_t BufferBytes = 64UL * 1024;
   Download result;
   const std::string uri = "http://" + address.toString() + target;
   const GObjectPtr<SoupMessage> message(soup_message_new("GET", uri.c_str()));
@@ -108,7 +108,7 @@
 
 std::string HttpClient::exchangeRaw(const Address &address,
                                     const std::string &raw) {
-  constexpr std::size_t BufferBytes = 64 * 1024;
+  constexpr std::size_t BufferBytes = 64UL * 1024;
   constexpr unsigned TimeoutSeconds = 10;
   const GObjectPtr<GSocketClient> client(g_socket_client_new());
   g_socket_client_set_timeout(client.get(), TimeoutSeconds);
