Wait for events and not for times in the tests of moves

Five pauses stood where an event was meant: calls have begun, other targets have taken fifty calls since, the frozen node was buried. The check that the drained target runs nothing is stricter now: its work must have ended, and the others must have taken work since.

--- a/test/fault/MovesAndStopsTest.cpp
+++ b/test/fault/MovesAndStopsTest.cpp
@@ -64,15 +64,20 @@
   Fleet fleet(makePlan(3, 1));
   CHECK(fleet.start());
   BackgroundCallers callers(fleet, {"--rate", "300", "--ms", "6000"});
-  g_usleep(1'000'000);
+  const auto vm = fleet.vmOf("status");
+  CHECK(Fleet::waitUntil([&] { return runsOf(fleet, vm) > 50; }));
   const auto moved =
       fleet.command({"domain", "out", "domain-0", "--who", "Night shift"});
   CHECK_EQUAL(
       0, fleet.command({"wait", versionIn(moved), "--timeout", "20"}).code);
-  const auto vm = fleet.vmOf("status");
-  Fleet::waitUntil([&] { return fleet.targetStats(vm).at("running") == 0; });
+  CHECK(Fleet::waitUntil(
+      [&] { return fleet.targetStats(vm).at("running") == 0; }));
   const unsigned before = runsOf(fleet, vm);
-  g_usleep(1'000'000);
+  // Other targets have taken many calls since, and this one none.
+  const auto other = fleet.vmOf("status", 1);
+  const unsigned otherBefore = runsOf(fleet, other);
+  CHECK(Fleet::waitUntil(
+      [&] { return runsOf(fleet, other) > otherBefore + 50; }));
   CHECK_EQUAL(before, runsOf(fleet, vm));
   const auto returned =
       fleet.command({"domain", "in", "domain-0", "--who", "Day shift"});
@@ -123,7 +128,10 @@
   const auto moved =
       fleet.command({"domain", "out", "domain-0", "--who", "Night shift"});
   CHECK_EQUAL(0, moved.code);
-  g_usleep(1'500'000);
+  // Frozen for longer than the others take to bury it.
+  const auto witness = fleet.vmOf("status", 1);
+  CHECK(Fleet::waitUntil(
+      [&] { return fleet.status(witness).value("present", 0) == 3; }));
   // A call waits in the socket of the frozen node and is the first thing that
   // it sees.
   std::optional<HttpAnswer> answer;
@@ -145,8 +153,8 @@
   Fleet fleet(makePlan(2, 1, {"--service-ms", "300"}));
   CHECK(fleet.start());
   BackgroundCallers callers(fleet, {"--rate", "6", "--ms", "4000"});
-  g_usleep(800'000);
   const auto vm = fleet.vmOf("status");
+  CHECK(Fleet::waitUntil([&] { return runsOf(fleet, vm) > 0; }));
   fleet.vms[vm]->targetProcess->signal(SIGTERM);
   CHECK_EQUAL(0, fleet.vms[vm]->targetProcess->wait());
   const json report = callers.finish();
@@ -165,7 +173,8 @@
   const GObjectPtr<GSubprocess> callers(g_subprocess_new(
       G_SUBPROCESS_FLAGS_STDOUT_PIPE, &error, program.c_str(), "--nodes",
       entrance.c_str(), "--rate", "200", "--ms", "20000", nullptr));
-  g_usleep(500'000);
+  CHECK(Fleet::waitUntil(
+      [&] { return fleet.metric(fleet.vms.size() - 1, "calls_total") > 0; }));
   for (std::size_t n = 0; n + 1 < fleet.vms.size(); ++n) {
     Vm &vm = *fleet.vms[n];
     vm.targetProcess->signal(SIGTERM);
