Give accepted versions to nodes at once, and join senders that are not known

Cause: an order that was accepted was not obeyed if the store went down before a node had read it: nobody knew of it. The operators' command knows the text and holds the cluster's key, so it now gives the version to two nodes of each failure domain, which spread it. A node that was killed and started again while the store is down came back only when its own news had spread; it now joins whoever sends to it.

--- a/src/connection/BulkMessage.h
+++ b/src/connection/BulkMessage.h
@@ -43,6 +43,16 @@
   }
 };
 
+/** Gives a version that was accepted a moment ago, so that it spreads though
+ * the store goes down before any node has read it. */
+struct ConfigurationOffer {
+  ConfigurationHead head;
+  std::string text;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(head, text);
+  }
+};
+
 /** Answers a SyncRequest. */
 struct SyncReply {
   BucketDigests digests{};
@@ -60,13 +70,13 @@
   }
 };
 
-/** Answers a SyncPush. */
+/** Answers a SyncPush and a ConfigurationOffer. */
 struct PushReply {
   template <typename Archive> void serialize(Archive & /*archive*/) {}
 };
 
-using BulkRequestBody =
-    std::variant<SyncRequest, SyncPush, ConfigurationRequest>;
+using BulkRequestBody = std::variant<SyncRequest, SyncPush,
+                                     ConfigurationRequest, ConfigurationOffer>;
 using BulkReplyBody = std::variant<SyncReply, PushReply, ConfigurationReply>;
 
 /** A request. The nonce comes back in the reply, so that a recorded reply is of
--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -162,6 +162,12 @@
     pull(peer);
 }
 
+void ConfigurationTask::onOffered(const ConfigurationOffer &offer) {
+  const ConfigurationPtr before = keeper.current();
+  const AdoptResult result = keeper.adopt(offer.head, offer.text);
+  finishAdoption(result, before, "the operator's command");
+}
+
 void ConfigurationTask::pull(const Address &peer) {
   if (isPulling)
     return;
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -40,6 +40,8 @@
 
   /** A peer has said that it has this version. */
   void onVersionHeard(const Address &peer, std::uint64_t version);
+  /** An operator's command has had this version accepted. */
+  void onOffered(const ConfigurationOffer &offer);
   /** What a peer needs. */
   ConfigurationReply answer(const ConfigurationRequest &request) const;
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -59,6 +59,9 @@
   listeners.configuration = [this](const ConfigurationRequest &request) {
     return configuration->answer(request);
   };
+  listeners.offer = [this](const ConfigurationOffer &offer) {
+    configuration->onOffered(offer);
+  };
   peers->listen(std::move(listeners));
   configuration->onAdopted([this](const ConfigurationPtr & /*before*/) {
     measure->reshape(configuration->current()->measure());
--- a/src/node/PeerTask.cpp
+++ b/src/node/PeerTask.cpp
@@ -197,6 +197,7 @@
   if (!isAcceptable(message->header))
     return;
   sendAll(members.receive(*message, NodeServices::now()));
+  joinUnknownSender(message->header.sender);
   publishChanges();
   if (message->header.configurationVersion != version && listeners.version)
     listeners.version(message->header.sender,
@@ -205,6 +206,15 @@
     listeners.message(*message);
 }
 
+void PeerTask::joinUnknownSender(const Address &sender) {
+  const TimePoint now = NodeServices::now();
+  if (members.find(sender) != nullptr ||
+      now - lastUnknownSenderAt < UnknownSenderInterval)
+    return;
+  lastUnknownSenderAt = now;
+  join(sender);
+}
+
 std::optional<std::string> PeerTask::answer(const std::string &frame) {
   const ControlScope scope(services.metrics);
   services.metrics.add("control_bytes_total", R"(direction="received")",
@@ -231,6 +241,11 @@
     members.merge(push->members, true, NodeServices::now());
     return PushReply{};
   }
+  if (const auto *const offer = std::get_if<ConfigurationOffer>(&body)) {
+    if (listeners.offer)
+      listeners.offer(*offer);
+    return PushReply{};
+  }
   if (!listeners.configuration)
     return ConfigurationReply{};
   return listeners.configuration(std::get<ConfigurationRequest>(body));
--- a/src/node/PeerTask.h
+++ b/src/node/PeerTask.h
@@ -21,6 +21,8 @@
 class PeerTask {
 public:
   static constexpr std::chrono::seconds SyncInterval{10};
+  /** Least time between two joins of senders that are not known. */
+  static constexpr std::chrono::seconds UnknownSenderInterval{1};
 
   /** What other tasks are told. All are called on the main loop; unset ones are
    * not called. */
@@ -32,6 +34,8 @@
     /** Answers a peer's request for the configuration. */
     std::function<ConfigurationReply(const ConfigurationRequest &)>
         configuration;
+    /** An operator's command offers a version that was accepted. */
+    std::function<void(const ConfigurationOffer &)> offer;
     /** Members have changed. */
     std::function<void(const std::vector<MemberChange> &)> members;
   };
@@ -81,6 +85,7 @@
   Timer tickTimer;
   Timer syncTimer;
   std::uint64_t version = 0;
+  TimePoint lastUnknownSenderAt;
   /** Guards callbacks of requests that outlive the task. */
   std::shared_ptr<PeerTask *> alive = std::make_shared<PeerTask *>(this);
 
@@ -96,6 +101,7 @@
   std::optional<std::string> answer(const std::string &frame);
   BulkReplyBody answerBody(const BulkRequestBody &body);
   void sendAll(const std::vector<Outgoing> &outgoing);
+  void joinUnknownSender(const Address &sender);
   void publishChanges();
   void recordChange(const MemberChange &change);
 };
--- a/src/operator/ConfigurationStore.cpp
+++ b/src/operator/ConfigurationStore.cpp
@@ -27,6 +27,29 @@
   return id.get();
 }
 
+ChangeResult accepted(const ConfigurationHead &head) {
+  ChangeResult result;
+  result.kind = ChangeResult::Kind::Accepted;
+  result.head = head;
+  return result;
+}
+
+ChangeResult lost(const ConfigurationHead &winner) {
+  ChangeResult result;
+  result.kind = ChangeResult::Kind::Lost;
+  result.winner = winner;
+  return result;
+}
+
+ChangeResult failed(ChangeResult::Kind kind, const ConfigurationHead &head,
+                    std::string reason) {
+  ChangeResult result;
+  result.kind = kind;
+  result.head = head;
+  result.reason = std::move(reason);
+  return result;
+}
+
 std::int64_t wallMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -115,19 +138,18 @@
     result.reason = toString(current.error());
     return result;
   }
-  const Configuration &accepted = *current.value().configuration;
-  if (order.expectedVersion &&
-      *order.expectedVersion != accepted.head().version)
-    return lost(accepted.head());
-  std::string text = order.edit(accepted);
-  if (text == accepted.text()) {
+  const Configuration &before = *current.value().configuration;
+  if (order.expectedVersion && *order.expectedVersion != before.head().version)
+    return lost(before.head());
+  std::string text = order.edit(before);
+  if (text == before.text()) {
     result.kind = ChangeResult::Kind::Unchanged;
-    result.head = accepted.head();
+    result.head = before.head();
     return result;
   }
   const ConfigurationHead head{
-      accepted.head().version + 1, digestOf(text), makeApplyId(), order.author,
-      order.description,           wallMs()};
+      before.head().version + 1, digestOf(text), makeApplyId(), order.author,
+      order.description,         wallMs()};
   if (auto built = Configuration::build(head, text); !built) {
     result.kind = ChangeResult::Kind::Invalid;
     result.findings = std::move(built).error();
@@ -140,9 +162,11 @@
     result.reason = toString(unavailable("writing the text"));
     return result;
   }
-  if (swap(current.value(), head) == StoreResult::Ok)
-    return {ChangeResult::Kind::Accepted, head, std::nullopt, {}, {}};
-  return resolve(current.value(), head);
+  result = swap(current.value(), head) == StoreResult::Ok
+               ? accepted(head)
+               : resolve(current.value(), head);
+  result.text = std::move(text);
+  return result;
 }
 
 StoreResult ConfigurationStore::swap(const StoredConfiguration &from,
@@ -168,7 +192,7 @@
     if (history.result == StoreResult::Ok) {
       const auto winner = ConfigurationHead::fromJson(history.row.value);
       if (winner && winner.value().applyId == head.applyId)
-        return {ChangeResult::Kind::Accepted, head, std::nullopt, {}, {}};
+        return accepted(head);
       if (winner)
         return lost(winner.value());
     }
@@ -181,32 +205,23 @@
               ? !from.etag
               : row.result == StoreResult::Ok && from.etag == row.row.etag;
       if (isUnmoved && fence(row, head))
-        return {ChangeResult::Kind::NotAccepted,
-                head,
-                std::nullopt,
-                {},
-                "the store did not carry out the change; nothing was changed"};
+        return failed(
+            ChangeResult::Kind::NotAccepted, head,
+            "the store did not carry out the change; nothing was changed");
       if (row.result == StoreResult::Ok && !isUnmoved) {
         const auto other = ConfigurationHead::fromJson(row.row.value);
         if (other && other.value().version < head.version)
-          return {ChangeResult::Kind::NotAccepted,
-                  head,
-                  std::nullopt,
-                  {},
-                  "another command was at work on the head row; nothing was "
-                  "changed"};
+          return failed(ChangeResult::Kind::NotAccepted, head,
+                        "another command was at work on the head row; nothing "
+                        "was changed");
       }
     }
     pause(ResolveInterval);
   }
-  return {ChangeResult::Kind::Unknown,
-          head,
-          std::nullopt,
-          {},
-          "the store does not answer, and whether the change was accepted is "
-          "not known; look for "
-          "apply " +
-              head.applyId + " in 'history' when it answers again"};
+  return failed(ChangeResult::Kind::Unknown, head,
+                "the store does not answer, and whether the change was "
+                "accepted is not known; look for apply " +
+                    head.applyId + " in 'history' when it answers again");
 }
 
 bool ConfigurationStore::fence(const RowResult &row,
@@ -229,8 +244,4 @@
   return result.result == StoreResult::Ok;
 }
 
-ChangeResult ConfigurationStore::lost(const ConfigurationHead &winner) const {
-  return {ChangeResult::Kind::Lost, {}, winner, {}, {}};
-}
-
 } // namespace plantainhatch
--- a/src/operator/ConfigurationStore.h
+++ b/src/operator/ConfigurationStore.h
@@ -49,6 +49,8 @@
   };
   Kind kind = Kind::NotAccepted;
   ConfigurationHead head;
+  /** The text of \c head. */
+  std::string text;
   std::optional<ConfigurationHead> winner;
   Findings findings;
   std::string reason;
@@ -83,7 +85,6 @@
                    const ConfigurationHead &head);
   ChangeResult resolve(const StoredConfiguration &from,
                        const ConfigurationHead &head);
-  ChangeResult lost(const ConfigurationHead &winner) const;
   bool fence(const RowResult &row, const ConfigurationHead &unwanted);
   RowResult readHeadRow();
   std::string table() const { return cluster + "-config"; }
--- a/src/operator/NodeClient.cpp
+++ b/src/operator/NodeClient.cpp
@@ -101,8 +101,9 @@
       continue;
     for (const json &member : answer->at("members")) {
       const auto callers = Address::parse(member.value("callers", ""));
-      if (callers)
-        listings.push_back({*callers, member.value("failureDomain", ""),
+      const auto peers = Address::parse(member.value("peers", ""));
+      if (callers && peers)
+        listings.push_back({*callers, *peers, member.value("failureDomain", ""),
                             member.value("liveness", "")});
     }
     break;
--- a/src/operator/NodeClient.h
+++ b/src/operator/NodeClient.h
@@ -18,6 +18,7 @@
 /** A node as another node describes it. */
 struct NodeListing {
   Address callers;
+  Address peers;
   std::string failureDomain;
   std::string liveness;
 
--- a/src/operator/changeCommands.cpp
+++ b/src/operator/changeCommands.cpp
@@ -1,6 +1,7 @@
 /** \file
  * Commands that change the accepted configuration. */
 #include "operator/commands.h"
+#include "operator/offerVersion.h"
 #include "operator/runCommand.h"
 
 #include "version/RuleParser.h"
@@ -73,7 +74,16 @@
         " and the store only version " +
         std::to_string(stored.value().configuration->head().version) +
         "; the store was set back, wait until the nodes have repaired it");
-  return toResult(context, context.store.change(order));
+  const ChangeResult change = context.store.change(order);
+  CommandResult result = toResult(context, change);
+  if (change.kind == ChangeResult::Kind::Accepted) {
+    const std::size_t offered = offerVersion(context, change.head, change.text);
+    result.messages += offered > 0
+                           ? "given to " + std::to_string(offered) + " nodes\n"
+                           : "warning: no node has taken it yet; it is in "
+                             "force as soon as nodes read the store\n";
+  }
+  return result;
 }
 
 std::string defaultAuthor(const CommandContext &context) {
