Hedge only calls to targets that call nobody else

Cause: four services that call one another, half of the last one's targets out of order: 738 calls became 747, 764, 792 and 839 runs by level. Each level hedged what the level below it was slow at, so the shares multiplied. Change: a gate that sees the identifier of a call that its target is at work on come back to its own node knows that the target calls others, and tells the fleet. Calls to such targets are not hedged; the level next to the slow target does it. A worker has to pass X-Request-Id on, as it passes on the time limit.

--- a/src/node/GateCall.cpp
+++ b/src/node/GateCall.cpp
@@ -30,11 +30,13 @@
   if (state != State::Sent && state != State::Answered)
     return;
   exchange->cancel();
+  task.idsInFlight.erase(idInFlight);
   task.finish(callId, GateOutcome::Cancelled);
 }
 
 void GateCall::start() {
   state = State::Sent;
+  idInFlight = task.idsInFlight.insert(handOver.request->id);
   bootId = task.gate.target().bootId;
   task.services.metrics.add("gate_handed_over_total");
   const GateCallPtr self(this);
@@ -140,6 +142,7 @@
     return;
   state = State::Ended;
   deadlineTimer.stop();
+  task.idsInFlight.erase(idInFlight);
   task.finish(callId, outcome);
 }
 
--- a/src/node/GateCall.h
+++ b/src/node/GateCall.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -89,6 +90,8 @@
   Receiver receiver;
   State state = State::Waiting;
   std::string bootId;
+  /** Its place in the gate's list while it is at the target. */
+  std::multiset<std::string>::iterator idInFlight;
   boost::intrusive_ptr<Exchange> exchange;
   Timer deadlineTimer;
 
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -57,6 +57,7 @@
   announcedAt = NodeServices::now();
   sentinel.watch(target.address);
   if (isNewStart) {
+    callsOthers = false;
     crashes.onNewStart(oldBoot);
     services.record(EventKind::TargetAnnounced, target.address.toString(),
                     "serves " + target.service + " with " +
@@ -82,6 +83,13 @@
   updateClosure();
 }
 
+void GateTask::noteIncoming(const std::string &requestId) {
+  if (callsOthers || !idsInFlight.contains(requestId))
+    return;
+  callsOthers = true;
+  publishTarget();
+}
+
 LoadReport GateTask::load() const {
   const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(
       gate.expectedLatency(NodeServices::now()));
@@ -140,6 +148,7 @@
   Target published = gate.target();
   if (published.isServing())
     published.state = TargetState::Cold;
+  published.callsOthers = callsOthers;
   peers.setTarget(published);
 }
 
--- a/src/node/GateTask.h
+++ b/src/node/GateTask.h
@@ -15,7 +15,7 @@
 #include <boost/intrusive/list.hpp>
 
 #include <functional>
-#include <map>
+#include <set>
 #include <string>
 
 namespace plantainhatch {
@@ -43,6 +43,11 @@
   /** No new work from now on, as this node stops. */
   void stop();
 
+  /** A call with this identifier has come to the ingress beside this gate. If
+   * the target is at work on a call with the same one, the target is what sent
+   * it. */
+  void noteIncoming(const std::string &requestId);
+
   /** The load for reports to other nodes. */
   LoadReport load() const;
   const Gate &state() const { return gate; }
@@ -62,6 +67,9 @@
   CallList waiting;
   CallId nextId = 1;
   bool isStopping = false;
+  /** Identifiers of the calls that the target is at work on. */
+  std::multiset<std::string> idsInFlight;
+  bool callsOthers = false;
   TimePoint announcedAt;
   Timer tickTimer;
   TargetSentinel sentinel;
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -31,6 +31,9 @@
       arrivedAt(NodeServices::now()) {}
 
 void IngressCall::begin() {
+  if (const auto id =
+          findHeader(incoming->request().headers, headers::RequestId))
+    task.gate.noteIncoming(*id);
   request = makeRequest();
   rule = configuration->findService(request->path());
   if (rule == nullptr) {
@@ -150,6 +153,7 @@
     return;
   }
   decision->onForwarded(choice->peers);
+  mayHedge = mayHedge && !choice->callsOthers;
   task.measure.loads().onSent(choice->peers, NodeServices::now());
   task.services.metrics.add("attempts_total");
   attempts[choice->peers] = nullptr;
@@ -206,7 +210,7 @@
 }
 
 void IngressCall::startHedgeTimer() {
-  if (hedgeTimer.isRunning() || !isIdempotent(*request, *rule))
+  if (hedgeTimer.isRunning() || !mayHedge || !isIdempotent(*request, *rule))
     return;
   const auto p95 = task.stateOf(rule->name).latencies.p95();
   if (!p95)
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -41,6 +41,8 @@
   std::unique_ptr<CallDecision> decision;
   ClaimPtr claim;
   bool isClaimHeld = false;
+  /** A second run of a target that calls others would run them again, too. */
+  bool mayHedge = true;
   bool isEnded = false;
   bool isCallerGone = false;
   /** Attempts under way by target. */
--- a/src/process/Member.h
+++ b/src/process/Member.h
@@ -37,6 +37,8 @@
   std::string bootId;
   std::string loadPath;
   TargetState state = TargetState::Absent;
+  /** True if its runs have called other services through its node. */
+  bool callsOthers = false;
 
   /** True if new work may be handed to it. */
   bool isServing() const {
@@ -48,7 +50,7 @@
   /** Serialization hook. */
   template <typename Archive> void serialize(Archive &archive) {
     archive(service, address, slots, coldSlots, connections, bootId, loadPath,
-            state);
+            state, callsOthers);
     internal::checkEnum(state, TargetState::Leaving);
   }
 };
--- a/src/request/Choice.h
+++ b/src/request/Choice.h
@@ -17,6 +17,8 @@
   bool isLocalNode = false;
   bool isLocalDomain = false;
   bool isSuspect = false;
+  /** True if the target calls other services to answer. */
+  bool callsOthers = false;
   LoadEstimate load;
 
   /** The share of its limit that is in use; 1 if it has no limit. */
--- a/src/request/makeChoices.cpp
+++ b/src/request/makeChoices.cpp
@@ -19,6 +19,7 @@
   choice.isLocalNode = member.peers == self.peers;
   choice.isLocalDomain = member.failureDomain == self.failureDomain;
   choice.isSuspect = member.liveness == Liveness::Suspect;
+  choice.callsOthers = member.target.callsOthers;
   // A target whose gate was never heard gets no more than it bears while cold.
   choice.load = view.loads.estimate(member.peers, member.target.coldSlots, now);
   return choice;
