--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BUILD)/bin/demo examples/karamanlis
 
 test: build
-	cd $(BUILD) && ctest --output-on-failure
+	cd $(BUILD) && ctest --output-on-failure -j3
 
 # A bounded number of runs from a fixed seed, so that the verdict is the same
 # each time.
@@ -42,6 +42,8 @@
 performance: build
 	$(BUILD)/bin/measure-added-latency
 	$(BUILD)/bin/measure-picks
+	$(BUILD)/bin/measure-overload
+	$(BUILD)/bin/measure-moves
 
 capacity: build
 	$(BUILD)/bin/measure-decisions
--- a/test/fault/ColdTargetTest.cpp
+++ b/test/fault/ColdTargetTest.cpp
@@ -25,7 +25,8 @@
          12,
          3,
          220,
-         {"--service-ms", "80", "--warm-after", "60", "--falls-over"}});
+         {"--service-ms", "80", "--warm-after", "60", "--falls-over"},
+         {}});
   return plan;
 }
 
--- a/test/fault/CrashingRequestTest.cpp
+++ b/test/fault/CrashingRequestTest.cpp
@@ -33,6 +33,22 @@
   }
 }
 
+TEST(CrashingRequest, DeathIsSeenThoughTheListeningSocketIsClosedLast) {
+  Fleet fleet(makePlan(2, 3));
+  CHECK(fleet.start());
+  for (const Address &node : fleet.callers())
+    fleet.http.send(node, "POST", "/status/crash-slowly");
+  const auto countDead = [&fleet] {
+    int dead = 0;
+    for (std::size_t n = 0; n < 6; ++n)
+      if (!fleet.vms[fleet.vmOf("status", n)]->targetProcess->isRunning())
+        ++dead;
+    return dead;
+  };
+  CHECK(Fleet::waitUntil([&] { return countDead() >= 2; }));
+  CHECK_EQUAL(2, countDead());
+}
+
 TEST(CrashingRequest, OperatorsCanListItAndLetItThrough) {
   Fleet fleet(makePlan(1, 3));
   CHECK(fleet.start());
--- a/test/fault/MovesAndStopsTest.cpp
+++ b/test/fault/MovesAndStopsTest.cpp
@@ -1,13 +1,14 @@
 /** \file
  * Moves, leaving targets and planned stops under load. */
 #include "base/Settings.h"
-#include "standins/Caller.h"
+#include "support/BackgroundCallers.h"
 #include "support/FaultFixture.h"
 
-#include <future>
-
 #include <CppUTest/TestHarness.h>
 
+#include <array>
+#include <thread>
+
 using namespace plantainhatch;
 using namespace plantainhatch::test;
 using nlohmann::json;
@@ -15,36 +16,6 @@
 
 namespace {
 
-/** Callers as a process of their own, so that the test can act meanwhile. */
-class BackgroundCallers {
-public:
-  BackgroundCallers(const Fleet &fleet,
-                    const std::vector<std::string> &options) {
-    std::string nodes;
-    for (const Address &node : fleet.callers())
-      nodes += node.toString() + ",";
-    const std::string program = binFolder() + "/standin-caller";
-    std::vector<const gchar *> argv{program.c_str(), "--nodes", nodes.c_str()};
-    for (const std::string &it : options)
-      argv.push_back(it.c_str());
-    argv.push_back(nullptr);
-    process.reset(g_subprocess_newv(argv.data(), G_SUBPROCESS_FLAGS_STDOUT_PIPE,
-                                    nullptr));
-  }
-
-  json finish() {
-    gchar *out = nullptr;
-    g_subprocess_communicate_utf8(process.get(), nullptr, nullptr, &out,
-                                  nullptr, nullptr);
-    const json report = json::parse(out == nullptr ? "" : out, nullptr, false);
-    g_free(out);
-    return report;
-  }
-
-private:
-  GObjectPtr<GSubprocess> process;
-};
-
 void checkAllAnswered(const json &report, const char *text) {
   CHECK_TEXT(report.at("sent").get<int>() > 0, text);
   CHECK_TEXT(report.at("sent") == report.at("answered"),
@@ -56,6 +27,28 @@
   return fleet.targetStats(vm).at("runs").get<unsigned>();
 }
 
+/** Two operators at once; the one who loses the race tries again. */
+void moveBoth(Fleet &fleet, const std::string &direction) {
+  std::array<std::string, 2> versions;
+  std::vector<std::thread> operators;
+  operators.reserve(versions.size());
+  for (std::size_t n = 0; n < versions.size(); ++n)
+    operators.emplace_back([&, n] {
+      CommandOutput moved;
+      do
+        moved =
+            fleet.command({"domain", direction, "domain-" + std::to_string(n),
+                           "--who", "Operator " + std::to_string(n)});
+      while (moved.code != 0);
+      versions[n] = versionIn(moved);
+    });
+  for (std::thread &it : operators)
+    it.join();
+  CHECK(versions[0] != versions[1]);
+  for (const std::string &version : versions)
+    CHECK_EQUAL(0, fleet.command({"wait", version, "--timeout", "20"}).code);
+}
+
 } // namespace
 
 TEST_GROUP(MovesAndStops){};
@@ -63,7 +56,7 @@
 TEST(MovesAndStops, DomainOutLosesNoCallAndStopsNewWork) {
   Fleet fleet(makePlan(3, 1));
   CHECK(fleet.start());
-  BackgroundCallers callers(fleet, {"--rate", "300", "--ms", "6000"});
+  BackgroundCallers callers(fleet.callers(), {"--rate", "300", "--ms", "6000"});
   const auto vm = fleet.vmOf("status");
   CHECK(Fleet::waitUntil([&] { return runsOf(fleet, vm) > 50; }));
   const auto moved =
@@ -87,6 +80,59 @@
   checkAllAnswered(callers.finish(), "domain out and in");
 }
 
+TEST(MovesAndStops, AcceptedMoveHoldsThoughTheStoreGoesDownRightAfter) {
+  Fleet fleet(makePlan(4, 1));
+  CHECK(fleet.start());
+  BackgroundCallers callers(fleet.callers(), {"--rate", "150", "--ms", "5000"});
+  const auto vm = fleet.vmOf("status");
+  CHECK(Fleet::waitUntil([&] { return runsOf(fleet, vm) > 20; }));
+  const auto moved =
+      fleet.command({"domain", "out", "domain-0", "--who", "Night shift"});
+  fleet.setPlatform({{"mode", "down"}});
+  CHECK_EQUAL(0, moved.code);
+  const auto waited =
+      fleet.command({"wait", versionIn(moved), "--timeout", "20"});
+  CHECK_EQUAL_TEXT(0, waited.code, waited.err.c_str());
+  CHECK(Fleet::waitUntil(
+      [&] { return fleet.targetStats(vm).at("running") == 0; }));
+  const unsigned before = runsOf(fleet, vm);
+  checkAllAnswered(callers.finish(), "store down half way");
+  CHECK_EQUAL(before, runsOf(fleet, vm));
+}
+
+TEST(MovesAndStops, TwoDomainsMoveAtOnceAndReturnCold) {
+  // A target dies when it is handed more than it can bear.
+  Fleet fleet(makePlan(
+      4, 1, {"--service-ms", "20", "--warm-after", "30", "--falls-over"}));
+  CHECK(fleet.start());
+  BackgroundCallers callers(fleet.callers(),
+                            {"--rate", "120", "--ms", "12000"});
+  const auto first = fleet.vmOf("status", 0);
+  const auto second = fleet.vmOf("status", 1);
+  CHECK(Fleet::waitUntil(
+      [&] { return runsOf(fleet, first) > 40 && runsOf(fleet, second) > 40; }));
+  moveBoth(fleet, "out");
+  for (const std::size_t vm : {first, second}) {
+    CHECK(Fleet::waitUntil(
+        [&] { return fleet.targetStats(vm).at("running") == 0; }));
+    fleet.vms[vm]->targetProcess->kill();
+    fleet.startTarget(vm);
+    CHECK(Fleet::waitUntil([&] { return !fleet.targetStats(vm).is_null(); }));
+  }
+  const auto other = fleet.vmOf("status", 2);
+  const unsigned otherBefore = runsOf(fleet, other);
+  CHECK(Fleet::waitUntil(
+      [&] { return runsOf(fleet, other) > otherBefore + 50; }));
+  CHECK_EQUAL(0, runsOf(fleet, first));
+  CHECK_EQUAL(0, runsOf(fleet, second));
+  moveBoth(fleet, "in");
+  CHECK(Fleet::waitUntil(
+      [&] { return runsOf(fleet, first) > 40 && runsOf(fleet, second) > 40; }));
+  checkAllAnswered(callers.finish(), "two domains out and in");
+  for (const auto &vm : fleet.vms)
+    CHECK(vm->targetProcess->isRunning());
+}
+
 TEST(MovesAndStops, DomainStaysOutThoughTheStoreGoesDownAndVmsAreReplaced) {
   Fleet fleet(makePlan(2, 1));
   CHECK(fleet.start());
@@ -152,7 +198,7 @@
 TEST(MovesAndStops, LeavingTargetFinishesItsWorkAndGetsNoMore) {
   Fleet fleet(makePlan(2, 1, {"--service-ms", "300"}));
   CHECK(fleet.start());
-  BackgroundCallers callers(fleet, {"--rate", "6", "--ms", "4000"});
+  BackgroundCallers callers(fleet.callers(), {"--rate", "6", "--ms", "4000"});
   const auto vm = fleet.vmOf("status");
   CHECK(Fleet::waitUntil([&] { return runsOf(fleet, vm) > 0; }));
   fleet.vms[vm]->targetProcess->signal(SIGTERM);
@@ -167,12 +213,8 @@
   CHECK(fleet.start());
   // Callers use one node that is restarted last, as a caller picks its entrance
   // itself.
-  const std::string entrance = fleet.vms.back()->callers.toString();
-  GError *error = nullptr;
-  const std::string program = binFolder() + "/standin-caller";
-  const GObjectPtr<GSubprocess> callers(g_subprocess_new(
-      G_SUBPROCESS_FLAGS_STDOUT_PIPE, &error, program.c_str(), "--nodes",
-      entrance.c_str(), "--rate", "200", "--ms", "20000", nullptr));
+  BackgroundCallers callers({fleet.vms.back()->callers},
+                            {"--rate", "200", "--ms", "20000"});
   CHECK(Fleet::waitUntil(
       [&] { return fleet.metric(fleet.vms.size() - 1, "calls_total") > 0; }));
   for (std::size_t n = 0; n + 1 < fleet.vms.size(); ++n) {
@@ -193,11 +235,7 @@
       return false;
     }));
   }
-  gchar *out = nullptr;
-  g_subprocess_communicate_utf8(callers.get(), nullptr, nullptr, &out, nullptr,
-                                nullptr);
-  checkAllAnswered(json::parse(out), "rolling restart");
-  g_free(out);
+  checkAllAnswered(callers.finish(), "rolling restart");
 }
 
 TEST(MovesAndStops, StoppingNodeFinishesACallInProgress) {
@@ -255,8 +293,8 @@
 TEST(MovesAndStops, NoSlotIsLostWhateverBecomesOfQueuedCalls) {
   Fleet fleet(makePlan(2, 1, {"--service-ms", "40"}));
   CHECK(fleet.start());
-  BackgroundCallers callers(
-      fleet, {"--rate", "500", "--ms", "4000", "--cancel-every", "7"});
+  BackgroundCallers callers(fleet.callers(), {"--rate", "500", "--ms", "4000",
+                                              "--cancel-every", "7"});
   callers.finish();
   for (std::size_t n = 0; n < 2; ++n) {
     const auto vm = fleet.vmOf("status", n);
--- a/test/standins/Platform.cpp
+++ b/test/standins/Platform.cpp
@@ -10,6 +10,8 @@
 
 using nlohmann::json;
 
+const std::string Tables = "/v1/tables/";
+
 std::string unescape(const std::string &text) {
   const std::unique_ptr<gchar, decltype(&g_free)> plain(
       g_uri_unescape_string(text.c_str(), nullptr), g_free);
@@ -39,14 +41,35 @@
 }
 
 void Platform::serve(const IncomingCallPtr &call) {
-  static const std::string Tables = "/v1/tables/";
-  static const std::string Objects = "/v1/objects/";
-  const std::string path(call->request().path());
-  if (path.starts_with("/standin/"))
+  if (call->request().path().starts_with("/standin/")) {
     control(call);
-  else if (mode == "down")
+    return;
+  }
+  if (mode == "down") {
     call->reply(503, {}, "down\n");
-  else if (path.starts_with(Tables))
+    return;
+  }
+  countArrival(call->request());
+  if (mode != "late") {
+    carryOut(call);
+    return;
+  }
+  const auto timer = std::make_shared<Timer>();
+  timer->startOnce(delay, [this, timer, call] { carryOut(call); });
+}
+
+void Platform::countArrival(const CallRequest &request) {
+  const std::string path(request.path());
+  static const std::string Suffix = "/transactions";
+  if (path.starts_with(Tables) && path.ends_with(Suffix))
+    ++arrivals[unescape(path.substr(Tables.size(), path.size() - Tables.size() -
+                                                       Suffix.size()))];
+}
+
+void Platform::carryOut(const IncomingCallPtr &call) {
+  static const std::string Objects = "/v1/objects/";
+  const std::string path(call->request().path());
+  if (path.starts_with(Tables))
     serveTable(call, path.substr(Tables.size()));
   else if (path.starts_with(Objects))
     serveObject(call, unescape(path.substr(Objects.size())));
@@ -56,7 +79,10 @@
 
 void Platform::control(const IncomingCallPtr &call) {
   if (call->request().path() == "/standin/stats") {
-    call->reply(200, {}, json{{"reads", reads}, {"writes", writes}}.dump());
+    call->reply(
+        200, {},
+        json{{"reads", reads}, {"writes", writes}, {"arrivals", arrivals}}
+            .dump());
     return;
   }
   if (call->request().path() == "/standin/set-row") {
--- a/test/standins/Platform.h
+++ b/test/standins/Platform.h
@@ -16,8 +16,9 @@
 
 /** Tables with tags and transactions, and objects, all in memory. Faults are
  * switched on by POST /standin/control {"mode": "up" | "down" | "slow" |
- * "lose"}: "lose" carries writes out and closes the connection instead of
- * answering; "slow" answers after "delayMs". */
+ * "late" | "lose"}: "lose" carries writes out and closes the connection instead
+ * of answering; "slow" answers "delayMs" after it has carried out; "late"
+ * carries out that much later. */
 class Platform {
 public:
   /** Listens. \return the stand-in, or findings if the address cannot be used.
@@ -41,8 +42,12 @@
   int losses = -1;
   std::uint64_t reads = 0;
   std::uint64_t writes = 0;
+  /** Transactions by table, counted when they arrive. */
+  std::map<std::string, std::uint64_t> arrivals;
 
   void serve(const IncomingCallPtr &call);
+  void carryOut(const IncomingCallPtr &call);
+  void countArrival(const CallRequest &request);
   void control(const IncomingCallPtr &call);
   void serveTable(const IncomingCallPtr &call, const std::string &path);
   void serveObject(const IncomingCallPtr &call, const std::string &name);
--- a/test/standins/Target.cpp
+++ b/test/standins/Target.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::chrono::milliseconds AnnounceInterval{500};
 constexpr std::uint64_t BundleChunk = 64UL * 1024;
+/** Between the end of the connections and that of the listening socket. */
+constexpr std::chrono::milliseconds SlowCrash{60};
 constexpr double ColdFactor = 3;
 constexpr double SlowFactor = 10;
 
@@ -112,6 +114,7 @@
                      {"running", running},
                      {"overruns", overruns},
                      {"cancelled", cancelled},
+                     {"answering", answering},
                      {"bootId", bootId},
                      {"runsByKey", runsByKey}}
                     .dump());
@@ -126,6 +129,7 @@
   options.sheds = order.value("sheds", options.sheds);
   options.closesReused = order.value("closesReused", options.closesReused);
   options.loadLie = order.value("loadLie", options.loadLie);
+  options.bodyMs = order.value("bodyMs", options.bodyMs);
   options.breaksAll = order.value("breaksAll", options.breaksAll);
   options.switchMs = order.value("switchMs", options.switchMs);
   if (options.switchMs > 0)
@@ -153,6 +157,11 @@
     call->abort();
     return;
   }
+  if (request.target.find("crash-slowly") != std::string::npos) {
+    crashTimer.startOnce(SlowCrash, [] { _exit(1); });
+    call->abort();
+    return;
+  }
   if (request.target.find("crash") != std::string::npos)
     _exit(1);
   ++running;
@@ -192,14 +201,100 @@
     sendBundle(call, size, 0, breakAt);
     return;
   }
-  --running;
+  if (!options.calls.empty()) {
+    callNext(call);
+    return;
+  }
   const std::string body =
       "id=" + findHeader(request.headers, headers::RequestId).value_or("") +
       " path=" + request.target + " body=" + digestOf(request.body) + "\n";
-  call->reply(
-      200,
-      {{"Content-Type", "text/plain"}, {"X-Target", options.listen.toString()}},
-      request.method == "HEAD" ? std::string() : body);
+  const HeaderList list{{"Content-Type", "text/plain"},
+                        {"X-Target", options.listen.toString()}};
+  if (options.bodyMs > 0) {
+    answerInHalves(call, list, body);
+    return;
+  }
+  --running;
+  call->reply(200, list, request.method == "HEAD" ? std::string() : body);
+}
+
+void Target::answerInHalves(const IncomingCallPtr &call, const HeaderList &list,
+                            const std::string &body) {
+  const auto isGone = std::make_shared<bool>(false);
+  ++answering;
+  call->onGone([this, isGone] {
+    *isGone = true;
+    ++cancelled;
+    --running;
+    --answering;
+  });
+  call->startStream({200, list, body.size()});
+  const std::size_t half = body.size() / 2;
+  const GBytesPtr first(g_bytes_new(body.data(), half));
+  const auto timer = std::make_shared<Timer>();
+  call->writeChunk(first.get(), [] {});
+  timer->startOnce(std::chrono::milliseconds(options.bodyMs),
+                   [this, timer, call, isGone, rest = body.substr(half)] {
+                     if (*isGone)
+                       return;
+                     const GBytesPtr second(
+                         g_bytes_new(rest.data(), rest.size()));
+                     call->writeChunk(second.get(), [this, call, isGone] {
+                       if (*isGone)
+                         return;
+                       call->onGone(nullptr);
+                       --running;
+                       --answering;
+                       call->endStream();
+                     });
+                   });
+}
+
+/** A call that a target makes for a call of its own, owned by its callback. */
+struct Target::NextCall {
+  Target *target = nullptr;
+  IncomingCallPtr call;
+  GObjectPtr<SoupMessage> message;
+  GObjectPtr<GCancellable> cancellable;
+};
+
+void Target::callNext(const IncomingCallPtr &call) {
+  auto *const next = new NextCall{
+      this, call,
+      GObjectPtr<SoupMessage>(soup_message_new("GET", options.calls.c_str())),
+      GObjectPtr<GCancellable>(g_cancellable_new())};
+  const auto timeout = findHeader(call->request().headers, headers::TimeoutMs);
+  if (timeout)
+    soup_message_headers_append(
+        soup_message_get_request_headers(next->message.get()),
+        headers::TimeoutMs, timeout->c_str());
+  const auto id = findHeader(call->request().headers, headers::RequestId);
+  if (id)
+    soup_message_headers_append(
+        soup_message_get_request_headers(next->message.get()),
+        headers::RequestId, id->c_str());
+  call->onGone([this, next] {
+    ++cancelled;
+    g_cancellable_cancel(next->cancellable.get());
+  });
+  soup_session_send_and_read_async(
+      session.get(), next->message.get(), G_PRIORITY_DEFAULT,
+      next->cancellable.get(),
+      [](GObject *source, GAsyncResult *result, gpointer data) {
+        const std::unique_ptr<NextCall> owned(static_cast<NextCall *>(data));
+        const GBytesPtr body(soup_session_send_and_read_finish(
+            SOUP_SESSION(source), result, nullptr));
+        --owned->target->running;
+        owned->call->onGone(nullptr);
+        if (g_cancellable_is_cancelled(owned->cancellable.get()) != FALSE)
+          return;
+        if (body)
+          owned->call->reply(soup_message_get_status(owned->message.get()), {},
+                             toString(body.get()));
+        else
+          owned->call->reply(502, {}, "the next call failed\n");
+      },
+      next);
 }
 
 void Target::sendBundle(const IncomingCallPtr &call, std::uint64_t left,
@@ -231,7 +326,10 @@
   if (options.journal.empty())
     return;
   std::ofstream journal(options.journal, std::ios::app);
-  journal << *key << "\n" << std::flush;
+  journal << *key << " "
+          << findHeader(request.headers, headers::RequestId).value_or("")
+          << "\n"
+          << std::flush;
 }
 
 Duration Target::drawServiceTime() {
--- a/test/standins/Target.h
+++ b/test/standins/Target.h
@@ -47,7 +47,13 @@
   /** Switches between fast and ten times slower at this interval; 0 for never.
    */
   unsigned switchMs = 0;
-  /** Each run with an idempotency key is appended here before it starts. */
+  /** The second half of an answer leaves this much after the first. */
+  unsigned bodyMs = 0;
+  /** A URL that each run calls before it answers, passing on the identifier and
+   * the time limit; its status and body become the answer. */
+  std::string calls;
+  /** Each run with an idempotency key is appended here before it starts: the
+   * key and the identifier of the request. */
   std::string journal;
   std::uint64_t seed = 1;
 };
@@ -63,6 +69,8 @@
   void drain(std::function<void()> done);
 
 private:
+  struct NextCall;
+
   TargetOptions options;
   std::unique_ptr<HttpServer> server;
   GObjectPtr<SoupSession> session;
@@ -71,8 +79,10 @@
   Timer announceTimer;
   Timer switchTimer;
   Timer drainTimer;
+  Timer crashTimer;
   bool isSlow = false;
   unsigned running = 0;
+  unsigned answering = 0;
   unsigned peak = 0;
   std::uint64_t runs = 0;
   std::uint64_t overruns = 0;
@@ -88,6 +98,9 @@
   void control(const IncomingCallPtr &call);
   void run(const IncomingCallPtr &call);
   void finishRun(const IncomingCallPtr &call);
+  void answerInHalves(const IncomingCallPtr &call, const HeaderList &headers,
+                      const std::string &body);
+  void callNext(const IncomingCallPtr &call);
   void countRun(const CallRequest &request);
   void sendBundle(const IncomingCallPtr &call, std::uint64_t left,
                   std::uint64_t offset, std::uint64_t breakAt);
--- a/test/standins/targetMain.cpp
+++ b/test/standins/targetMain.cpp
@@ -30,6 +30,7 @@
   char *node = nullptr;
   char *service = nullptr;
   char *journal = nullptr;
+  char *calls = nullptr;
   int fallsOver = 0;
   int steady = 0;
   int seed = 1;
@@ -38,6 +39,7 @@
       {"node", 0, POPT_ARG_STRING, &node, 0, nullptr, nullptr},
       {"service", 0, POPT_ARG_STRING, &service, 0, nullptr, nullptr},
       {"journal", 0, POPT_ARG_STRING, &journal, 0, nullptr, nullptr},
+      {"calls", 0, POPT_ARG_STRING, &calls, 0, nullptr, nullptr},
       {"slots", 0, POPT_ARG_INT, &options.slots, 0, nullptr, nullptr},
       {"cold-slots", 0, POPT_ARG_INT, &options.coldSlots, 0, nullptr, nullptr},
       {"connections", 0, POPT_ARG_INT, &options.connections, 0, nullptr,
@@ -61,6 +63,7 @@
   options.node = Address::parse(orElse(node, "")).value_or(Address{});
   options.service = orElse(service, options.service);
   options.journal = orElse(journal, "");
+  options.calls = orElse(calls, "");
   options.fallsOver = fallsOver != 0;
   options.isSteady = steady != 0;
   options.seed = static_cast<std::uint64_t>(seed);
--- a/test/support/FaultFixture.cpp
+++ b/test/support/FaultFixture.cpp
@@ -7,14 +7,18 @@
 
 namespace plantainhatch::test {
 
-unsigned countRuns(Fleet &fleet, const std::string &key) {
+std::vector<JournalEntry> readJournal(const Fleet &fleet) {
   std::ifstream journal(fleet.journalFile());
-  std::string line;
-  unsigned runs = 0;
-  while (std::getline(journal, line))
-    if (line == key)
-      ++runs;
-  return runs;
+  std::vector<JournalEntry> entries;
+  JournalEntry entry;
+  while (journal >> entry.key >> entry.requestId)
+    entries.push_back(entry);
+  return entries;
+}
+
+unsigned countRuns(const Fleet &fleet, const std::string &key) {
+  return static_cast<unsigned>(
+      std::ranges::count(readJournal(fleet), key, &JournalEntry::key));
 }
 
 std::string outcomeOf(const HttpAnswer &answer) {
--- a/test/support/FaultFixture.h
+++ b/test/support/FaultFixture.h
@@ -26,15 +26,24 @@
   for (unsigned domain = 0; domain < domains; ++domain) {
     for (unsigned n = 0; n < perDomain; ++n) {
       const std::string name = "domain-" + std::to_string(domain);
-      plan.vms.push_back({name, "status", 12, 4, 220, targetOptions});
-      plan.vms.push_back({name, "release", 12, 4, 220, targetOptions});
+      plan.vms.push_back({name, "status", 12, 4, 220, targetOptions, {}});
+      plan.vms.push_back({name, "release", 12, 4, 220, targetOptions, {}});
     }
   }
   return plan;
 }
 
-/** How often targets have started to run a key, over all that ever lived. */
-unsigned countRuns(Fleet &fleet, const std::string &key);
+/** A run that a target has noted before it started it. */
+struct JournalEntry {
+  std::string key;
+  std::string requestId;
+};
+
+/** The runs with an idempotency key, of all targets that ever lived. */
+std::vector<JournalEntry> readJournal(const Fleet &fleet);
+
+/** How often targets have started to run a key. */
+unsigned countRuns(const Fleet &fleet, const std::string &key);
 
 /** What a caller is told, in short: "answer", "not-run", "unknown" or "cut". */
 std::string outcomeOf(const HttpAnswer &answer);
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -2,6 +2,8 @@
 
 #include "operator/MainLoop.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
@@ -23,6 +25,20 @@
   return name.get();
 }
 
+/** An address in 127.0.0.0/8 of this process alone, so that programs which run
+ * side by side do not take each other's ports. */
+const std::string &loopbackHost() {
+  constexpr unsigned BitsPerPart = 8;
+  constexpr unsigned PartMask = 255;
+  static const std::string Host = [] {
+    const auto id = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(1 + (id >> 2 * BitsPerPart) % PartMask) +
+           "." + std::to_string((id >> BitsPerPart) & PartMask) + "." +
+           std::to_string(id & PartMask);
+  }();
+  return Host;
+}
+
 bool isFree(const char *host, std::uint16_t port) {
   const GObjectPtr<GSocketListener> listener(g_socket_listener_new());
   const GObjectPtr<GSocketAddress> address(
@@ -43,8 +59,8 @@
   for (;;) {
     next = next + 1 < LastPort ? next + 1 : FirstPort;
     const auto port = static_cast<std::uint16_t>(next);
-    if (isFree("127.0.0.1", port))
-      return {"127.0.0.1", port};
+    if (isFree(loopbackHost().c_str(), port))
+      return {loopbackHost(), port};
   }
 }
 
@@ -158,6 +174,10 @@
                                  "--journal",
                                  folder + "/journal"};
   std::ranges::copy(vm.plan.targetOptions, std::back_inserter(words));
+  if (!vm.plan.calls.empty()) {
+    words.emplace_back("--calls");
+    words.push_back("http://" + vm.callers.toString() + vm.plan.calls);
+  }
   vm.targetProcess = std::make_unique<ChildProcess>(
       words, folder + "/target-" + std::to_string(vm.target.port) + ".log");
 }
--- a/test/support/Fleet.h
+++ b/test/support/Fleet.h
@@ -28,6 +28,8 @@
   unsigned connections = 220;
   /** More options of the target's stand-in. */
   std::vector<std::string> targetOptions;
+  /** Path that each run calls at its own node before it answers. */
+  std::string calls;
 };
 
 /** What a whole fleet is made of. */
@@ -110,13 +112,15 @@
   std::unique_ptr<ChildProcess> platformProcess;
   HttpClient http;
 
+  /** True if each node knows all others and all targets serve. */
+  bool isComplete();
+
 private:
   FleetPlan plan;
   std::string folder;
   std::string operatorSettings;
 
   void writeSettings(Vm &vm);
-  bool isComplete();
 };
 
 /** A loopback port that was free a moment ago. */
--- a/test/support/HttpClient.cpp
+++ b/test/support/HttpClient.cpp
@@ -48,11 +48,11 @@
   });
 }
 
-void HttpClient::sendAsync(const Address &address, const std::string &method,
-                           const std::string &target, const HeaderList &headers,
-                           const std::string &body,
-                           std::chrono::milliseconds limit,
-                           std::function<void(HttpAnswer)> done) {
+GObjectPtr<GCancellable>
+HttpClient::sendAsync(const Address &address, const std::string &method,
+                      const std::string &target, const HeaderList &headers,
+                      const std::string &body, std::chrono::milliseconds limit,
+                      std::function<void(HttpAnswer)> done) {
   auto *const pending = new Pending;
   pending->done = std::move(done);
   const std::string uri = "http://" + address.toString() + target;
@@ -66,6 +66,8 @@
     soup_message_set_request_body_from_bytes(pending->message.get(),
                                              "text/plain", bytes.get());
   }
+  GObjectPtr<GCancellable> cancellable(
+      G_CANCELLABLE(g_object_ref(pending->cancellable.get())));
   pending->timer.startOnce(
       limit, [pending] { g_cancellable_cancel(pending->cancellable.get()); });
   soup_session_send_and_read_async(
@@ -79,6 +81,7 @@
                           : HttpAnswer{});
       },
       pending);
+  return cancellable;
 }
 
 HttpClient::Download HttpClient::download(const Address &address,
--- a/test/support/HttpClient.h
+++ b/test/support/HttpClient.h
@@ -36,11 +36,13 @@
     return send(address, "GET", target);
   }
 
-  /** Sends without waiting; \p done is called on the main loop. */
-  void sendAsync(const Address &address, const std::string &method,
-                 const std::string &target, const HeaderList &headers,
-                 const std::string &body, std::chrono::milliseconds limit,
-                 std::function<void(HttpAnswer)> done);
+  /** Sends without waiting; \p done is called on the main loop.
+   * \return what gives the call up by closing its connection. */
+  GObjectPtr<GCancellable>
+  sendAsync(const Address &address, const std::string &method,
+            const std::string &target, const HeaderList &headers,
+            const std::string &body, std::chrono::milliseconds limit,
+            std::function<void(HttpAnswer)> done);
 
   /** Fetches a body of any length without keeping it. \return its length and
    * digest, and whether it ended cleanly. */
--- a/tools/demo/main.cpp
+++ b/tools/demo/main.cpp
@@ -2,7 +2,7 @@
  * Runs a deployment as processes on loopback: sends calls, takes a failure
  * domain out and in, and prints what callers saw and the time line. */
 #include "base/Settings.h"
-#include "standins/Caller.h"
+#include "support/BackgroundCallers.h"
 #include "support/Fleet.h"
 
 #include <nlohmann/json.hpp>
@@ -32,34 +32,19 @@
                         it.at("slots"),
                         it.at("coldSlots"),
                         it.at("connections"),
+                        {},
                         {}});
   return plan;
 }
 
-/** Starts the callers' stand-in as a process of its own. */
-GObjectPtr<GSubprocess> startCallers(const Fleet &fleet,
-                                     const std::string &path, double rate,
-                                     bool hasKeys) {
-  std::string nodes;
-  for (const Address &node : fleet.callers())
-    nodes += node.toString() + ",";
-  const std::string program = binFolder() + "/standin-caller";
-  const std::string rateText = std::to_string(rate);
-  const std::string msText = std::to_string(LoadTime.count());
-  return GObjectPtr<GSubprocess>(g_subprocess_new(
-      G_SUBPROCESS_FLAGS_STDOUT_PIPE, nullptr, program.c_str(), "--nodes",
-      nodes.c_str(), "--path", path.c_str(), "--rate", rateText.c_str(), "--ms",
-      msText.c_str(), "--method", hasKeys ? "POST" : "GET",
-      hasKeys ? "--keys" : nullptr, nullptr));
-}
-
-json finishCallers(GSubprocess *callers) {
-  gchar *out = nullptr;
-  g_subprocess_communicate_utf8(callers, nullptr, nullptr, &out, nullptr,
-                                nullptr);
-  json report = json::parse(out == nullptr ? "" : out, nullptr, false);
-  g_free(out);
-  return report;
+std::vector<std::string> callerOptions(const std::string &path, double rate,
+                                       bool hasKeys) {
+  std::vector<std::string> options{"--path", path,
+                                   "--rate", std::to_string(rate),
+                                   "--ms",   std::to_string(LoadTime.count())};
+  if (hasKeys)
+    options.insert(options.end(), {"--method", "POST", "--keys"});
+  return options;
 }
 
 void printCommand(Fleet &fleet, const std::vector<std::string> &words) {
@@ -87,18 +72,20 @@
   const std::string domain = deployment.at("moves");
   std::cout << fleet.vms.size() << " nodes and targets and one platform run\n";
   printCommand(fleet, {"status"});
-  const auto status =
-      startCallers(fleet, deployment.at("statusPath"), StatusRate, false);
-  const auto once =
-      startCallers(fleet, deployment.at("oncePath"), OnceRate, true);
+  BackgroundCallers status(
+      fleet.callers(),
+      callerOptions(deployment.at("statusPath"), StatusRate, false));
+  BackgroundCallers once(
+      fleet.callers(),
+      callerOptions(deployment.at("oncePath"), OnceRate, true));
   g_usleep(std::chrono::microseconds(MoveAfter).count());
   printCommand(fleet, {"domain", "out", domain, "--who", "Night shift"});
   printCommand(fleet, {"wait", acceptedVersion(fleet)});
   g_usleep(std::chrono::microseconds(MoveAfter).count());
   printCommand(fleet, {"domain", "in", domain, "--who", "Night shift"});
   printCommand(fleet, {"wait", acceptedVersion(fleet)});
-  const json statusReport = finishCallers(status.get());
-  const json onceReport = finishCallers(once.get());
+  const json statusReport = status.finish();
+  const json onceReport = once.finish();
   std::cout << "idempotent calls: " << statusReport.dump(2) << "\n"
             << "calls that run at most once: " << onceReport.dump(2) << "\n";
   printCommand(fleet, {"timeline", "--since", "60s"});
--- a/tools/measure/Control.cpp
+++ b/tools/measure/Control.cpp
@@ -30,7 +30,8 @@
   FleetPlan plan;
   plan.rules = TwoServices;
   for (std::size_t n = 0; n < count; ++n)
-    plan.vms.push_back({"domain-" + std::to_string(n % 4), "", 12, 4, 220, {}});
+    plan.vms.push_back(
+        {"domain-" + std::to_string(n % 4), "", 12, 4, 220, {}, {}});
   return plan;
 }
 
--- a/tools/measure/Picks.cpp
+++ b/tools/measure/Picks.cpp
@@ -53,7 +53,8 @@
                         Slots,
                         Slots,
                         220,
-                        {"--service-ms", std::to_string(ServiceMs)}});
+                        {"--service-ms", std::to_string(ServiceMs)},
+                        {}});
   plan.nodeOptions = {"--policy", policy};
   return plan;
 }
