Count targets that are about as fast as equals when picking

Change: targets below 1.4 times the median latency count as the median; one not heard lately is tried with one call; a refusal ends the search if no target is known to have a place.

--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -154,6 +154,8 @@
   }
   decision->onForwarded(choice->peers);
   mayHedge = mayHedge && !choice->callsOthers;
+  if (choice->isLastResort)
+    decision->expectRefusal();
   task.measure.loads().onSent(choice->peers, NodeServices::now());
   task.services.metrics.add("attempts_total");
   attempts[choice->peers] = nullptr;
--- a/src/node/IngressTask.cpp
+++ b/src/node/IngressTask.cpp
@@ -36,7 +36,9 @@
   const std::size_t n = std::visit(
       [&](auto &it) { return it.pick(choices, services.random); }, policy);
   probeAnother(choices, n);
-  return choices[n];
+  Choice picked = choices[n];
+  picked.isLastResort = std::ranges::all_of(choices, &Choice::isSaturated);
+  return picked;
 }
 
 void IngressTask::probeAnother(const std::vector<Choice> &choices,
--- a/src/request/CallDecision.cpp
+++ b/src/request/CallDecision.cpp
@@ -46,7 +46,8 @@
     return WaitAction{};
   if (now >= deadline)
     return onDeadline();
-  if (refusals >= MaxRefusals || refusal == Refusal::Quarantined)
+  if (refusals >= MaxRefusals || isRefusalExpected ||
+      refusal == Refusal::Quarantined)
     return refuse();
   return ForwardAction{refusals >= RefusalsBeforeQueue};
 }
--- a/src/request/CallDecision.h
+++ b/src/request/CallDecision.h
@@ -64,6 +64,10 @@
   /** The deadline has passed without an answer. */
   CallAction onDeadline();
 
+  /** All targets are known to have no place left: the next refusal is the last.
+   */
+  void expectRefusal() { isRefusalExpected = true; }
+
   /** Targets that are not to be picked again. */
   const std::set<Address> &tried() const { return triedTargets; }
   /** Attempts without a result yet. */
@@ -82,6 +86,7 @@
   bool hasFailed = false;
   bool hasHedged = false;
   bool hasStartedOver = false;
+  bool isRefusalExpected = false;
   Refusal lastRefusal = Refusal::NoTarget;
 
   Outcome outcome() const {
--- a/src/request/Choice.h
+++ b/src/request/Choice.h
@@ -4,6 +4,7 @@
 #define PLANTAINHATCH_REQUEST_CHOICE_H
 
 #include "base/Address.h"
+#include "process/Gate.h"
 #include "process/LoadTable.h"
 
 namespace plantainhatch {
@@ -19,8 +20,21 @@
   bool isSuspect = false;
   /** True if the target calls other services to answer. */
   bool callsOthers = false;
+  /** True if no choice is known to have a place left. */
+  bool isLastResort = false;
   LoadEstimate load;
 
+  /** What is known of a full queue holds for this long. */
+  static constexpr std::chrono::milliseconds SaturationAge{50};
+
+  /** True if its gate was heard a moment ago and had no place left, neither in
+   * its slots nor in its queue. */
+  bool isSaturated() const {
+    return load.age < SaturationAge && load.limit > 0 &&
+           load.inFlight >=
+               load.limit * static_cast<double>(1 + Gate::QueuePerSlot);
+  }
+
   /** The share of its limit that is in use; 1 if it has no limit. */
   double utilization() const {
     return load.limit > 0 ? load.inFlight / load.limit : 1.0;
--- a/src/request/HotColdPolicy.cpp
+++ b/src/request/HotColdPolicy.cpp
@@ -13,24 +13,25 @@
 constexpr Seconds LeastLatency{0.0001};
 
 /** Latencies of targets that were not heard lately say nothing; they count as
- * the mean of others, so that each gets a call now and then and shows whether
+ * the median of others, so that each gets a call now and then and shows whether
  * it has recovered. */
 bool hasFreshLatency(const Choice &choice) {
   return choice.load.age < LoadTable::MaxReportAge &&
          choice.load.latency > Duration{};
 }
 
-Seconds meanLatency(std::span<const Choice> choices,
-                    const std::vector<std::size_t> &indices) {
-  Seconds sum{0};
-  std::size_t n = 0;
-  for (const std::size_t it : indices) {
-    if (!hasFreshLatency(choices[it]))
-      continue;
-    sum += choices[it].load.latency;
-    ++n;
-  }
-  return n == 0 ? LeastLatency : sum / static_cast<double>(n);
+Seconds medianLatency(std::span<const Choice> choices,
+                      const std::vector<std::size_t> &indices) {
+  std::vector<Seconds> fresh;
+  for (const std::size_t it : indices)
+    if (hasFreshLatency(choices[it]))
+      fresh.emplace_back(choices[it].load.latency);
+  if (fresh.empty())
+    return LeastLatency;
+  const auto middle =
+      fresh.begin() + static_cast<std::ptrdiff_t>((fresh.size() - 1) / 2);
+  std::ranges::nth_element(fresh, middle);
+  return std::max(*middle, LeastLatency);
 }
 
 Seconds hopCost(const Choice &choice) {
@@ -49,12 +50,21 @@
          choice.load.limit;
 }
 
+/** Equals count as the median. One that was not heard lately and has a call of
+ * this node counts as slow until it answers, so that it is tried with one call
+ * and not with many. */
+Seconds expectedLatency(const Choice &choice, Seconds median) {
+  const Seconds slow = HotColdPolicy::SlowFactor * median;
+  if (!hasFreshLatency(choice))
+    return choice.load.inFlight < 1 ? median : slow;
+  const Seconds own(choice.load.latency);
+  return own > slow ? own : median;
+}
+
 /** When a call sent there would end: its latency, after the wait for a slot,
  * and stretched a little by utilization, which spreads calls over equals. */
-Seconds expectedEnd(const Choice &choice, Seconds mean) {
-  const Seconds known =
-      hasFreshLatency(choice) ? Seconds(choice.load.latency) : mean;
-  const Seconds latency = std::max(known, LeastLatency);
+Seconds expectedEnd(const Choice &choice, Seconds median) {
+  const Seconds latency = expectedLatency(choice, median);
   const double spread = std::min(choice.utilization(), 1.0);
   return latency * (1.0 + spread + turnsToWait(choice)) + hopCost(choice);
 }
@@ -65,9 +75,9 @@
                                 std::mt19937_64 &random) {
   const Indices healthy =
       withoutFailing(choices, sample(choices, random), random);
-  const Seconds mean = meanLatency(choices, healthy);
+  const Seconds median = medianLatency(choices, healthy);
   return std::ranges::min(healthy, {}, [&](std::size_t it) {
-    return expectedEnd(choices[it], mean);
+    return expectedEnd(choices[it], median);
   });
 }
 
--- a/src/request/HotColdPolicy.h
+++ b/src/request/HotColdPolicy.h
@@ -28,6 +28,10 @@
   static constexpr unsigned TrickleEvery = 64;
   /** More choices than this are sampled. */
   static constexpr std::size_t MaxCompared = 16;
+  /** A target that takes this many times as long as the median one is slow.
+   * Those that are not count as equals, so that noise in their latencies does
+   * not send every node's calls to the same one. */
+  static constexpr double SlowFactor = 1.4;
   /** What a hop to another node costs. */
   static constexpr std::chrono::microseconds HopCost{250};
   /** What crossing to another failure domain costs there and back. */
--- a/test/correctness/CallDecisionTest.cpp
+++ b/test/correctness/CallDecisionTest.cpp
@@ -152,6 +152,15 @@
   CHECK(isAnswer(action, 503, Outcome::NotRun));
 }
 
+TEST(CallDecision, ExpectedRefusalIsTheLast) {
+  CallDecision call(true, Deadline, budget);
+  call.start();
+  call.onForwarded(First);
+  call.expectRefusal();
+  CHECK(isAnswer(call.onRefused(First, Refusal::Full, Start), 503,
+                 Outcome::NotRun));
+}
+
 TEST(CallDecision, QuarantinedCallIsNotTriedElsewhere) {
   CallDecision call(true, Deadline, budget);
   call.start();
