Read the change once more and take out what stood twice

Found by reading the diff: the code that opens a connection stood in three places (connectTo now), HTTP codes by name in seven and by number in one (HttpStatus), the fleet of one service in three tools (makeStatusPlan) and the end of a tool's main function in six (runTool). GateCall's destructor repeated end(). The cancellables of frames were never cancelled and are gone. A change command read the store twice, and decided on the first reading; it reads once now, inside the change. An incoming call looked for its identifier twice. That no place is left is a property of a pick and not of a choice (Picked). No check, bound or expectation was changed.

--- a/src/connection/BulkClient.h
+++ b/src/connection/BulkClient.h
@@ -5,6 +5,7 @@
 
 #include "base/Address.h"
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
@@ -12,7 +13,7 @@
 namespace plantainhatch {
 
 /** A request that has had no reply for this long is given up. */
-inline constexpr unsigned BulkTimeoutSeconds = 3;
+inline constexpr std::chrono::seconds BulkTimeout{3};
 
 /** Connects to \p address, sends \p request as one frame and calls \p done with
  * the reply, or with nothing if there was none. \p done is called on the main
--- a/src/connection/BulkServer.cpp
+++ b/src/connection/BulkServer.cpp
@@ -19,8 +19,8 @@
   BulkConnection(GSocketConnection *connection,
                  std::shared_ptr<BulkServer::Responder> responder,
                  std::shared_ptr<unsigned> count)
-      : connection(refGObject(connection)), cancellable(g_cancellable_new()),
-        responder(std::move(responder)), count(std::move(count)) {
+      : connection(refGObject(connection)), responder(std::move(responder)),
+        count(std::move(count)) {
     ++*this->count;
     g_socket_set_timeout(g_socket_connection_get_socket(connection),
                          BulkServer::IdleSeconds);
@@ -39,7 +39,6 @@
   void readNext() {
     const boost::intrusive_ptr<BulkConnection> self(this);
     readFrame(g_io_stream_get_input_stream(G_IO_STREAM(connection.get())),
-              cancellable.get(),
               [self](const std::optional<std::string> &frame) {
                 if (frame)
                   self->answer(*frame);
@@ -48,7 +47,6 @@
 
 private:
   GObjectPtr<GSocketConnection> connection;
-  GObjectPtr<GCancellable> cancellable;
   std::shared_ptr<BulkServer::Responder> responder;
   std::shared_ptr<unsigned> count;
 
@@ -58,7 +56,7 @@
       return;
     const boost::intrusive_ptr<BulkConnection> self(this);
     writeFrame(g_io_stream_get_output_stream(G_IO_STREAM(connection.get())),
-               *reply, cancellable.get(), [self](bool isWritten) {
+               *reply, [self](bool isWritten) {
                  if (isWritten)
                    self->readNext();
                });
--- a/src/connection/Frame.cpp
+++ b/src/connection/Frame.cpp
@@ -13,7 +13,6 @@
 /** One frame being read. */
 struct ReadOperation {
   GObjectPtr<GInputStream> stream;
-  GObjectPtr<GCancellable> cancellable;
   FrameReader done;
   guint32 prefix = 0;
   std::string payload;
@@ -52,8 +51,7 @@
   operation->payload.resize(n);
   ReadOperation *const raw = operation.release();
   g_input_stream_read_all_async(raw->stream.get(), raw->payload.data(), n,
-                                G_PRIORITY_DEFAULT, raw->cancellable.get(),
-                                onPayload, raw);
+                                G_PRIORITY_DEFAULT, nullptr, onPayload, raw);
 }
 
 void onWritten(GObject *source, GAsyncResult *result, gpointer data) {
@@ -67,18 +65,16 @@
 
 } // namespace
 
-void readFrame(GInputStream *stream, GCancellable *cancellable,
-               FrameReader done) {
+void readFrame(GInputStream *stream, FrameReader done) {
   auto *const operation =
-      new ReadOperation{refGObject(stream), refGObject(cancellable),
-                        std::move(done), 0, std::string()};
+      new ReadOperation{refGObject(stream), std::move(done), 0, std::string()};
   g_input_stream_read_all_async(stream, &operation->prefix, PrefixBytes,
-                                G_PRIORITY_DEFAULT, cancellable, onPrefix,
+                                G_PRIORITY_DEFAULT, nullptr, onPrefix,
                                 operation);
 }
 
 void writeFrame(GOutputStream *stream, const std::string &payload,
-                GCancellable *cancellable, FrameWriter done) {
+                FrameWriter done) {
   assert(payload.size() <= MaxFrameBytes && "the sender bounds its messages");
   const guint32 prefix = g_htonl(static_cast<guint32>(payload.size()));
   auto *const operation =
@@ -87,7 +83,7 @@
   operation->bytes += payload;
   g_output_stream_write_all_async(stream, operation->bytes.data(),
                                   operation->bytes.size(), G_PRIORITY_DEFAULT,
-                                  cancellable, onWritten, operation);
+                                  nullptr, onWritten, operation);
 }
 
 } // namespace plantainhatch
--- a/src/connection/Frame.h
+++ b/src/connection/Frame.h
@@ -21,13 +21,12 @@
 using FrameWriter = std::function<void(bool)>;
 
 /** Reads one frame. The stream is kept alive until \p done was called. */
-void readFrame(GInputStream *stream, GCancellable *cancellable,
-               FrameReader done);
+void readFrame(GInputStream *stream, FrameReader done);
 
 /** Writes one frame. The stream is kept alive until \p done was called.
  * \pre \p payload is not longer than MaxFrameBytes. */
 void writeFrame(GOutputStream *stream, const std::string &payload,
-                GCancellable *cancellable, FrameWriter done);
+                FrameWriter done);
 
 } // namespace plantainhatch
 
--- a/src/node/AnnounceTask.cpp
+++ b/src/node/AnnounceTask.cpp
@@ -1,6 +1,7 @@
 #include "node/AnnounceTask.h"
 
 #include "node/parseAnnouncement.h"
+#include "request/HttpStatus.h"
 
 #include <nlohmann/json.hpp>
 
@@ -10,13 +11,6 @@
 
 using nlohmann::json;
 
-constexpr unsigned Ok = 200;
-constexpr unsigned BadRequest = 400;
-constexpr unsigned Forbidden = 403;
-constexpr unsigned NotFound = 404;
-constexpr unsigned MethodNotAllowed = 405;
-constexpr unsigned ConflictStatus = 409;
-
 void replyJson(const IncomingCallPtr &call, unsigned status, const json &body) {
   call->reply(status, {{"Content-Type", "application/json"}},
               body.dump() + "\n");
@@ -57,15 +51,15 @@
   const std::string host = call->remoteHost();
   const std::string path(call->request().path());
   if (host != services.settings.targets.host && !isLoopback(host))
-    replyError(call, Forbidden,
+    replyError(call, httpStatus::Forbidden,
                "announcements are taken from this VM only, and not from " +
                    host);
   else if (path != "/plantainhatch/v1/announce" &&
            path != "/plantainhatch/v1/leave")
-    replyError(call, NotFound,
+    replyError(call, httpStatus::NotFound,
                "there is only /plantainhatch/v1/announce and .../leave");
   else if (call->request().method != "POST")
-    replyError(call, MethodNotAllowed, "use POST");
+    replyError(call, httpStatus::MethodNotAllowed, "use POST");
   else if (path == "/plantainhatch/v1/announce")
     announce(call);
   else
@@ -75,12 +69,13 @@
 void AnnounceTask::announce(const IncomingCallPtr &call) {
   const auto target = parseAnnouncement(call->request().body);
   if (!target) {
-    replyError(call, BadRequest, target.error());
+    replyError(call, httpStatus::BadRequest, target.error());
     return;
   }
   const std::string &host = target.value().address.host;
   if (host != services.settings.targets.host && !isLoopback(host)) {
-    replyError(call, Forbidden, "the target's address is not on this VM");
+    replyError(call, httpStatus::Forbidden,
+               "the target's address is not on this VM");
     return;
   }
   const Target &known = gate.state().target();
@@ -88,24 +83,25 @@
                        known.state != TargetState::Absent &&
                        known.state != TargetState::Leaving;
   if (isOther) {
-    replyError(call, ConflictStatus,
+    replyError(call, httpStatus::Conflict,
                "this node serves the target at " + known.address.toString() +
                    " already");
     return;
   }
   gate.announce(target.value());
-  replyJson(call, Ok, {{"renewWithinMs", GateTask::RenewWithin.count()}});
+  replyJson(call, httpStatus::Ok,
+            {{"renewWithinMs", GateTask::RenewWithin.count()}});
 }
 
 void AnnounceTask::leave(const IncomingCallPtr &call) {
   const auto bootId = parseLeave(call->request().body);
   if (!bootId)
-    replyError(call, BadRequest, bootId.error());
+    replyError(call, httpStatus::BadRequest, bootId.error());
   else if (!gate.leave(bootId.value()))
-    replyError(call, ConflictStatus,
+    replyError(call, httpStatus::Conflict,
                "the target of this node has another bootId");
   else
-    replyJson(call, Ok, {{"inFlight", gate.state().inFlight()}});
+    replyJson(call, httpStatus::Ok, {{"inFlight", gate.state().inFlight()}});
 }
 
 } // namespace plantainhatch
--- a/src/node/CrashTask.cpp
+++ b/src/node/CrashTask.cpp
@@ -1,5 +1,7 @@
 #include "node/CrashTask.h"
 
+#include "connection/connectTo.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -50,25 +52,12 @@
 }
 
 void CrashTask::probeTarget(const Inquiry &subject) {
-  const GObjectPtr<GSocketClient> client(g_socket_client_new());
-  g_socket_client_set_timeout(client.get(), ConnectSeconds);
-  g_socket_client_set_enable_proxy(client.get(), FALSE);
-  g_socket_client_connect_to_host_async(
-      client.get(), subject.target.toString().c_str(), subject.target.port,
-      nullptr, onProbed, new Probe{alive, subject.bootId});
-}
-
-void CrashTask::onProbed(GObject *source, GAsyncResult *result, gpointer data) {
-  const std::unique_ptr<Probe> probe(static_cast<Probe *>(data));
-  GError *rawError = nullptr;
-  const GObjectPtr<GSocketConnection> connection(g_socket_client_connect_finish(
-      G_SOCKET_CLIENT(source), result, &rawError));
-  const GErrorPtr error(rawError);
-  const bool isRefused =
-      error &&
-      g_error_matches(error.get(), G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
-  if (const auto task = probe->task.lock())
-    (*task)->takeProbe(probe->bootId, isRefused);
+  connectTo(subject.target, ConnectTime,
+            [weak = std::weak_ptr(alive),
+             bootId = subject.bootId](const ConnectResult &result) {
+              if (const auto self = weak.lock())
+                (*self)->takeProbe(bootId, result.isRefused);
+            });
 }
 
 void CrashTask::takeProbe(const std::string &bootId, bool isRefused) {
--- a/src/node/CrashTask.h
+++ b/src/node/CrashTask.h
@@ -32,7 +32,7 @@
   static constexpr std::chrono::milliseconds ResendInterval{100};
   /** How long a connection to the target may take before it counts as alive but
    * slow. */
-  static constexpr unsigned ConnectSeconds = 1;
+  static constexpr std::chrono::seconds ConnectTime{1};
   /** The kernel may close the connections of a dying process before its
    * listening socket, so a target counts as alive only if it can be connected
    * to at all of these times after a failure. */
@@ -82,11 +82,6 @@
     /** Probes that have connected. */
     std::size_t connected = 0;
   };
-  /** A probe under way, owned by its callback. */
-  struct Probe {
-    std::weak_ptr<CrashTask *> task;
-    std::string bootId;
-  };
   /** One report that is being spread. */
   struct Spread {
     CrashReport report;
@@ -111,7 +106,6 @@
   std::shared_ptr<CrashTask *> alive = std::make_shared<CrashTask *>(this);
 
   void probeTarget(const Inquiry &subject);
-  static void onProbed(GObject *source, GAsyncResult *result, gpointer data);
   void takeProbe(const std::string &bootId, bool isRefused);
   void pardon();
   void report(std::unique_ptr<Inquiry> crash);
--- a/src/node/ForwardedCall.cpp
+++ b/src/node/ForwardedCall.cpp
@@ -3,6 +3,7 @@
 #include "connection/AnswerRelay.h"
 #include "request/ForwardProof.h"
 #include "request/HeaderNames.h"
+#include "request/HttpStatus.h"
 
 #include <charconv>
 
@@ -10,9 +11,6 @@
 
 namespace {
 
-constexpr unsigned BadGateway = 502;
-constexpr unsigned Forbidden = 403;
-constexpr unsigned ServiceUnavailable = 503;
 /** The ingress bounds the pauses of an answer by its rule; this only ends what
  * it has left. */
 constexpr std::chrono::minutes IdleLimit{60};
@@ -50,7 +48,7 @@
     const auto timeout = parseTimeout(headerOf(original, headers::TimeoutMs));
     if (!timeout || !isProved()) {
       services.metrics.add("forward_rejected_total");
-      refuse(Forbidden, "proof");
+      refuse(httpStatus::Forbidden, "proof");
       return;
     }
     HandOver handOver;
@@ -118,7 +116,8 @@
     if (auto *const answer = std::get_if<HandedAnswer>(&result))
       relay(std::move(*answer));
     else if (const auto *const refused = std::get_if<HandRefused>(&result))
-      refuse(ServiceUnavailable, std::string(toString(refused->refusal)));
+      refuse(httpStatus::ServiceUnavailable,
+             std::string(toString(refused->refusal)));
     else
       fail(std::get<HandFailed>(result).reason);
   }
@@ -146,7 +145,7 @@
     HeaderList list = nodeHeaders();
     list.emplace_back(headers::Outcome, toString(Outcome::Unknown));
     list.emplace_back(headers::Reason, reason);
-    incoming->reply(BadGateway, list, reason + "\n");
+    incoming->reply(httpStatus::BadGateway, list, reason + "\n");
     finish();
   }
 
--- a/src/node/GateCall.cpp
+++ b/src/node/GateCall.cpp
@@ -2,6 +2,7 @@
 
 #include "node/GateTask.h"
 #include "request/HeaderNames.h"
+#include "request/HttpStatus.h"
 
 #include <algorithm>
 
@@ -9,10 +10,8 @@
 
 namespace {
 
-constexpr unsigned ServiceUnavailable = 503;
-
 bool isShed(const AnswerHead &head) {
-  return head.status == ServiceUnavailable &&
+  return head.status == httpStatus::ServiceUnavailable &&
          findHeader(head.headers, headers::Outcome) ==
              std::string(toString(Outcome::NotRun));
 }
@@ -30,8 +29,7 @@
   if (state != State::Sent && state != State::Answered)
     return;
   exchange->cancel();
-  task.idsInFlight.erase(idInFlight);
-  task.finish(callId, GateOutcome::Cancelled);
+  end(GateOutcome::Cancelled);
 }
 
 void GateCall::start() {
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -3,6 +3,7 @@
 #include "node/PrefixedSource.h"
 #include "node/RemoteHandOver.h"
 #include "request/HeaderNames.h"
+#include "request/HttpStatus.h"
 
 #include <algorithm>
 
@@ -12,8 +13,6 @@
 
 using CallPtr = boost::intrusive_ptr<IngressCall>;
 
-constexpr unsigned BadRequest = 400;
-constexpr unsigned NotFound = 404;
 constexpr std::chrono::milliseconds LeastHedgeDelay{2};
 
 } // namespace
@@ -31,18 +30,16 @@
       arrivedAt(NodeServices::now()) {}
 
 void IngressCall::begin() {
-  if (const auto id =
-          findHeader(incoming->request().headers, headers::RequestId))
-    task.gate.noteIncoming(*id);
   request = makeRequest();
+  task.gate.noteIncoming(request->id);
   rule = configuration->findService(request->path());
   if (rule == nullptr) {
-    reject(NotFound, "no-rule");
+    reject(httpStatus::NotFound, "no-rule");
     return;
   }
   const auto timeout = timeoutOf(incoming->request(), *rule);
   if (!timeout) {
-    reject(BadRequest, "timeout-not-a-positive-number");
+    reject(httpStatus::BadRequest, "timeout-not-a-positive-number");
     return;
   }
   deadline = arrivedAt + *timeout;
@@ -50,7 +47,7 @@
   decision = std::make_unique<CallDecision>(
       isIdempotent(*request, *rule), deadline, task.stateOf(rule->name).budget);
   if (task.crashes.isQuarantined(fingerprint)) {
-    answerSelf({503, Outcome::NotRun,
+    answerSelf({httpStatus::ServiceUnavailable, Outcome::NotRun,
                 std::string(toString(Refusal::Quarantined)),
                 CallDecision::RetryAfter});
     return;
@@ -64,7 +61,7 @@
   }
   const auto key = findHeader(request->headers, rule->keyHeader);
   if (!key || key->empty()) {
-    reject(BadRequest, "missing-" + rule->keyHeader);
+    reject(httpStatus::BadRequest, "missing-" + rule->keyHeader);
     return;
   }
   beginClaim(*key);
@@ -131,7 +128,8 @@
   if (claim && !isClaimHeld) {
     // The row may be there already, whatever becomes of it; nothing was handed
     // over.
-    answerSelf({504, Outcome::Unknown, "deadline", std::nullopt});
+    answerSelf({httpStatus::GatewayTimeout, Outcome::Unknown, "deadline",
+                std::nullopt});
     return;
   }
   perform(decision->onDeadline());
@@ -147,27 +145,28 @@
 }
 
 void IngressCall::forward(bool mayQueue) {
-  const auto choice = task.pick(*configuration, rule->name, decision->tried());
-  if (!choice) {
+  const auto picked = task.pick(*configuration, rule->name, decision->tried());
+  if (!picked) {
     perform(decision->onNoChoice());
     return;
   }
-  decision->onForwarded(choice->peers);
-  mayHedge = mayHedge && !choice->callsOthers;
-  if (choice->isLastResort)
+  const Choice &choice = picked->choice;
+  decision->onForwarded(choice.peers);
+  mayHedge = mayHedge && !choice.callsOthers;
+  if (picked->isLastResort)
     decision->expectRefusal();
-  task.measure.loads().onSent(choice->peers, NodeServices::now());
+  task.measure.loads().onSent(choice.peers, NodeServices::now());
   task.services.metrics.add("attempts_total");
-  attempts[choice->peers] = nullptr;
+  attempts[choice.peers] = nullptr;
   const auto hasResult = std::make_shared<bool>(false);
   // A target that is known to be full was picked for a wait that is worth it.
-  const bool isFull = choice->utilization() >= 1.0;
+  const bool isFull = choice.utilization() >= 1.0;
   const AnswerSourcePtr source =
-      handOver(*choice, mayQueue || isFull, hasResult);
+      handOver(choice, mayQueue || isFull, hasResult);
   // The gate beside this node may have refused already, and the next attempt at
   // the same target may be under way.
   if (!*hasResult)
-    attempts[choice->peers] = source;
+    attempts[choice.peers] = source;
   if (!isEnded)
     startHedgeTimer();
 }
@@ -245,7 +244,8 @@
   deadlineTimer.startOnce(rule->timeout, [self, target, source] {
     source->cancel();
     self->attempts.erase(target);
-    self->answerSelf({504, Outcome::Unknown, "answer-stalled", std::nullopt});
+    self->answerSelf({httpStatus::GatewayTimeout, Outcome::Unknown,
+                      "answer-stalled", std::nullopt});
   });
   source->read([self, target, head, source](Chunk chunk) {
     self->onCollected(target, head, source, std::move(chunk));
@@ -281,7 +281,8 @@
        request->method != "HEAD");
   task.measure.loads().onEnded(target, isBroken, now);
   if (isBroken) {
-    answerSelf({502, Outcome::Unknown, "answer-broken", std::nullopt});
+    answerSelf({httpStatus::BadGateway, Outcome::Unknown, "answer-broken",
+                std::nullopt});
     return;
   }
   claim->finish(ClaimState::Done, {head.status, head.headers, collected, true});
--- a/src/node/IngressTask.cpp
+++ b/src/node/IngressTask.cpp
@@ -19,7 +19,7 @@
   IngressCall::start(*this, incoming, std::move(onDone));
 }
 
-std::optional<Choice> IngressTask::pick(const Configuration &current,
+std::optional<Picked> IngressTask::pick(const Configuration &current,
                                         const std::string &service,
                                         const std::set<Address> &tried) {
   const TimePoint now = NodeServices::now();
@@ -36,9 +36,7 @@
   const std::size_t n = std::visit(
       [&](auto &it) { return it.pick(choices, services.random); }, policy);
   probeAnother(choices, n);
-  Choice picked = choices[n];
-  picked.isLastResort = std::ranges::all_of(choices, &Choice::isSaturated);
-  return picked;
+  return Picked{choices[n], std::ranges::all_of(choices, &Choice::isSaturated)};
 }
 
 void IngressTask::probeAnother(const std::vector<Choice> &choices,
--- a/src/node/IngressTask.h
+++ b/src/node/IngressTask.h
@@ -26,6 +26,13 @@
   LatencyWindow latencies;
 };
 
+/** A target that was picked. */
+struct Picked {
+  Choice choice;
+  /** True if all that could be picked are known to have no place left. */
+  bool isLastResort = false;
+};
+
 /** Owns the policy and what is learned about services; each call is an
  * IngressCall. */
 class IngressTask {
@@ -39,7 +46,7 @@
   void serve(const IncomingCallPtr &incoming, std::function<void()> onDone);
 
   /** The next target for a call, or nothing. */
-  std::optional<Choice> pick(const Configuration &configuration,
+  std::optional<Picked> pick(const Configuration &configuration,
                              const std::string &service,
                              const std::set<Address> &tried);
 
--- a/src/node/StatusTask.cpp
+++ b/src/node/StatusTask.cpp
@@ -2,6 +2,7 @@
 
 #include "node/EventJson.h"
 #include "request/HeaderNames.h"
+#include "request/HttpStatus.h"
 #include "request/Outcome.h"
 
 #include <ranges>
@@ -13,11 +14,6 @@
 
 using nlohmann::json;
 
-constexpr unsigned Ok = 200;
-constexpr unsigned BadRequest = 400;
-constexpr unsigned NotFound = 404;
-constexpr unsigned MethodNotAllowed = 405;
-
 json toJson(const Member &member) {
   return {{"peers", member.peers.toString()},
           {"callers", member.callers.toString()},
@@ -69,27 +65,29 @@
       request.path().substr(std::string_view(PathPrefix).size()));
   const HeaderList jsonType{{"Content-Type", "application/json"}};
   if (!isSafeMethod(request.method)) {
-    refuse(call, MethodNotAllowed, "nothing is changed here; use GET");
+    refuse(call, httpStatus::MethodNotAllowed,
+           "nothing is changed here; use GET");
   } else if (name == "status") {
     const bool hasMembers = findParameter(request.target, "members") != "0";
-    call->reply(Ok, jsonType, makeStatus(hasMembers).dump() + "\n");
+    call->reply(httpStatus::Ok, jsonType, makeStatus(hasMembers).dump() + "\n");
   } else if (name == "events") {
     const auto since =
         HybridTime::parse(findParameter(request.target, "since").value_or("0"));
     if (!since)
-      refuse(call, BadRequest, "since: is not a time of an event");
+      refuse(call, httpStatus::BadRequest, "since: is not a time of an event");
     else
       call->reply(
-          Ok, jsonType,
+          httpStatus::Ok, jsonType,
           json{{"events", plantainhatch::toJson(services.events.since(*since))},
                {"dropped", services.events.droppedCount()}}
                   .dump() +
               "\n");
   } else if (name == "metrics") {
-    call->reply(Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+    call->reply(httpStatus::Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                 makeMetrics());
   } else {
-    refuse(call, NotFound, "there is only status, events and metrics");
+    refuse(call, httpStatus::NotFound,
+           "there is only status, events and metrics");
   }
 }
 
--- a/src/node/TargetSentinel.h
+++ b/src/node/TargetSentinel.h
@@ -39,7 +39,6 @@
   void connect();
   void take(GObjectPtr<GSocketConnection> established);
   void drop();
-  static void onConnected(GObject *source, GAsyncResult *result, gpointer data);
 };
 
 } // namespace plantainhatch
--- a/src/operator/ConfigurationStore.cpp
+++ b/src/operator/ConfigurationStore.cpp
@@ -139,6 +139,14 @@
     return result;
   }
   const Configuration &before = *current.value().configuration;
+  if (order.versionAtNodes > before.head().version)
+    return failed(ChangeResult::Kind::NotAccepted, before.head(),
+                  "refused: nodes hold version " +
+                      std::to_string(order.versionAtNodes) +
+                      " and the store only version " +
+                      std::to_string(before.head().version) +
+                      "; the store was set back, wait until the nodes have "
+                      "repaired it");
   if (order.expectedVersion && *order.expectedVersion != before.head().version)
     return lost(before.head());
   std::string text = order.edit(before);
--- a/src/operator/ConfigurationStore.h
+++ b/src/operator/ConfigurationStore.h
@@ -30,6 +30,9 @@
   std::string description;
   /** Refuse unless this is the accepted version. */
   std::optional<std::uint64_t> expectedVersion;
+  /** The newest version that nodes hold. A store with an older one was set
+   * back, and nothing is changed until nodes have repaired it. */
+  std::uint64_t versionAtNodes = 0;
 };
 
 /** How an order ended. */
--- a/src/operator/changeCommands.cpp
+++ b/src/operator/changeCommands.cpp
@@ -25,13 +25,12 @@
 
 /** A node that has a newer version than the store shows that the store was set
  * back. */
-std::optional<std::uint64_t> newestVersionOfNodes(CommandContext &context) {
-  std::optional<std::uint64_t> newest;
+std::uint64_t newestVersionOfNodes(CommandContext &context) {
+  std::uint64_t newest = 0;
   for (const auto &[node, answer] : context.nodes.fetch(
            context.settings.nodes, "/plantainhatch/v1/status?members=0"))
     if (answer)
-      newest = std::max(newest.value_or(0),
-                        answer->value("version", std::uint64_t{0}));
+      newest = std::max(newest, answer->value("version", std::uint64_t{0}));
   return newest;
 }
 
@@ -64,16 +63,8 @@
   return refused(change.reason);
 }
 
-CommandResult carryOut(CommandContext &context, const ChangeOrder &order) {
-  const auto newest = newestVersionOfNodes(context);
-  const auto stored = context.store.read();
-  if (stored && newest &&
-      *newest > stored.value().configuration->head().version)
-    return refused(
-        "refused: nodes hold version " + std::to_string(*newest) +
-        " and the store only version " +
-        std::to_string(stored.value().configuration->head().version) +
-        "; the store was set back, wait until the nodes have repaired it");
+CommandResult carryOut(CommandContext &context, ChangeOrder order) {
+  order.versionAtNodes = newestVersionOfNodes(context);
   const ChangeResult change = context.store.change(order);
   CommandResult result = toResult(context, change);
   if (change.kind == ChangeResult::Kind::Accepted) {
--- a/src/operator/offerVersion.h
+++ b/src/operator/offerVersion.h
@@ -17,8 +17,9 @@
 /** Gives \p text to a few nodes of each failure domain, which spread it. Nodes
  * find accepted versions in the store by themselves; this makes an accepted
  * order hold also when the store goes down before any of them has looked.
- * \pre The version named by \p head was accepted. \return how many nodes have
- * answered in time. Blocks the caller while it runs the main loop. */
+ * \pre The version named by \p head was accepted. \return at how many of
+ * them it, or a newer one, is in force. Blocks the caller while it runs the
+ * main loop. */
 std::size_t offerVersion(CommandContext &context, const ConfigurationHead &head,
                          const std::string &text);
 
--- a/src/process/LoadTable.h
+++ b/src/process/LoadTable.h
@@ -39,9 +39,9 @@
   void onEnded(const Address &target, bool failed, TimePoint now);
   /** A report has come in. */
   void onReport(const Address &target, const LoadReport &report, TimePoint now);
-  /** The guess at \p now. \p slots stands in for a limit that was never
+  /** The guess at \p now. \p assumedLimit stands in for a limit that was never
    * reported. */
-  LoadEstimate estimate(const Address &target, unsigned slots,
+  LoadEstimate estimate(const Address &target, unsigned assumedLimit,
                         TimePoint now) const;
   /** Drops what was not used for long. */
   void expire(TimePoint now);
--- a/src/request/CallDecision.cpp
+++ b/src/request/CallDecision.cpp
@@ -1,14 +1,8 @@
 #include "request/CallDecision.h"
 
-namespace plantainhatch {
-
-namespace {
-
-constexpr unsigned BadGateway = 502;
-constexpr unsigned ServiceUnavailable = 503;
-constexpr unsigned GatewayTimeout = 504;
+#include "request/HttpStatus.h"
 
-} // namespace
+namespace plantainhatch {
 
 CallDecision::CallDecision(bool isIdempotent, TimePoint deadline,
                            RetryBudget &budget)
@@ -66,8 +60,8 @@
   const unsigned allowed = didTargetDie ? MaxFailures - 1 : MaxFailures;
   if (isIdempotent && failures <= allowed && budget.trySpend(now))
     return ForwardAction{true};
-  return AnswerAction{BadGateway, Outcome::Unknown, "attempt-failed",
-                      std::nullopt};
+  return AnswerAction{httpStatus::BadGateway, Outcome::Unknown,
+                      "attempt-failed", std::nullopt};
 }
 
 CallAction CallDecision::onHedge(TimePoint now) {
@@ -80,11 +74,13 @@
 }
 
 CallAction CallDecision::onDeadline() {
-  return AnswerAction{GatewayTimeout, outcome(), "deadline", std::nullopt};
+  return AnswerAction{httpStatus::GatewayTimeout, outcome(), "deadline",
+                      std::nullopt};
 }
 
 AnswerAction CallDecision::refuse() const {
-  const unsigned status = hasFailed ? BadGateway : ServiceUnavailable;
+  const unsigned status =
+      hasFailed ? httpStatus::BadGateway : httpStatus::ServiceUnavailable;
   return AnswerAction{status, outcome(), std::string(toString(lastRefusal)),
                       RetryAfter};
 }
--- a/src/request/Choice.h
+++ b/src/request/Choice.h
@@ -20,8 +20,6 @@
   bool isSuspect = false;
   /** True if the target calls other services to answer. */
   bool callsOthers = false;
-  /** True if no choice is known to have a place left. */
-  bool isLastResort = false;
   LoadEstimate load;
 
   /** What is known of a full queue holds for this long. */
--- a/src/request/ClaimDecision.cpp
+++ b/src/request/ClaimDecision.cpp
@@ -1,21 +1,18 @@
 #include "request/ClaimDecision.h"
 
+#include "request/HttpStatus.h"
+
 #include <algorithm>
 
 namespace plantainhatch {
 
 namespace {
 
-constexpr unsigned ConflictStatus = 409;
-constexpr unsigned UnprocessableStatus = 422;
-constexpr unsigned BadGateway = 502;
-constexpr unsigned ServiceUnavailable = 503;
-
 /** The table does not answer. Whether an earlier sending with this key has run
  * cannot be told, so even though this one was not run, the answer must not say
  * so of the key. */
 AnswerAction storeUnavailable() {
-  return {ServiceUnavailable, Outcome::Unknown, "store-unavailable",
+  return {httpStatus::ServiceUnavailable, Outcome::Unknown, "store-unavailable",
           ClaimDecision::RetryAfter};
 }
 
@@ -61,21 +58,22 @@
 ClaimAction ClaimDecision::onForeignRow(const ClaimRecord &row,
                                         WallTime now) const {
   if (row.requestDigest != requestDigest)
-    return AnswerAction{UnprocessableStatus, Outcome::NotRun,
+    return AnswerAction{httpStatus::UnprocessableContent, Outcome::NotRun,
                         "key-of-another-request", std::nullopt};
   if (row.state == ClaimState::Done && row.answer.isWhole)
     return ReplayAction{row.answer};
   if (row.state == ClaimState::Done)
-    return AnswerAction{ConflictStatus, Outcome::Unknown,
+    return AnswerAction{httpStatus::Conflict, Outcome::Unknown,
                         "done-answer-not-kept", std::nullopt};
   if (row.state == ClaimState::Unknown)
-    return AnswerAction{BadGateway, Outcome::Unknown, "earlier-sending-unknown",
-                        std::nullopt};
+    return AnswerAction{httpStatus::BadGateway, Outcome::Unknown,
+                        "earlier-sending-unknown", std::nullopt};
   const auto left = WallTime(std::chrono::milliseconds(row.deadlineMs)) - now;
   if (left <= std::chrono::milliseconds(0))
-    return AnswerAction{BadGateway, Outcome::Unknown, "earlier-sending-unknown",
-                        std::nullopt};
-  return AnswerAction{ConflictStatus, Outcome::Unknown, "running", RetryAfter};
+    return AnswerAction{httpStatus::BadGateway, Outcome::Unknown,
+                        "earlier-sending-unknown", std::nullopt};
+  return AnswerAction{httpStatus::Conflict, Outcome::Unknown, "running",
+                      RetryAfter};
 }
 
 } // namespace plantainhatch
--- /dev/null
+++ b/src/request/HttpStatus.h
@@ -0,0 +1,22 @@
+/** \file
+ * Status codes of the answers that nodes make themselves. */
+#ifndef PLANTAINHATCH_REQUEST_HTTPSTATUS_H
+#define PLANTAINHATCH_REQUEST_HTTPSTATUS_H
+
+/** Codes of HTTP by their names. */
+namespace plantainhatch::httpStatus {
+
+inline constexpr unsigned Ok = 200;
+inline constexpr unsigned BadRequest = 400;
+inline constexpr unsigned Forbidden = 403;
+inline constexpr unsigned NotFound = 404;
+inline constexpr unsigned MethodNotAllowed = 405;
+inline constexpr unsigned Conflict = 409;
+inline constexpr unsigned UnprocessableContent = 422;
+inline constexpr unsigned BadGateway = 502;
+inline constexpr unsigned ServiceUnavailable = 503;
+inline constexpr unsigned GatewayTimeout = 504;
+
+} // namespace plantainhatch::httpStatus
+
+#endif
--- a/test/support/FaultFixture.h
+++ b/test/support/FaultFixture.h
@@ -5,6 +5,7 @@
 
 #include "support/Fleet.h"
 
+#include <chrono>
 #include <csignal>
 #include <string>
 #include <vector>
@@ -33,6 +34,26 @@
   return plan;
 }
 
+/** Warm targets of one idempotent service, in turn over \p domains failure
+ * domains. */
+inline FleetPlan makeStatusPlan(unsigned targets, unsigned domains,
+                                unsigned slots,
+                                std::chrono::milliseconds serviceTime) {
+  FleetPlan plan;
+  plan.rules = "service status path /status timeout 2s  # Test\n";
+  const std::vector<std::string> options{"--service-ms",
+                                         std::to_string(serviceTime.count())};
+  for (unsigned n = 0; n < targets; ++n)
+    plan.vms.push_back({"domain-" + std::to_string(n % domains),
+                        "status",
+                        slots,
+                        slots,
+                        220,
+                        options,
+                        {}});
+  return plan;
+}
+
 /** A run that a target has noted before it started it. */
 struct JournalEntry {
   std::string key;
--- a/tools/demo/main.cpp
+++ b/tools/demo/main.cpp
@@ -2,12 +2,12 @@
  * Runs a deployment as processes on loopback: sends calls, takes a failure
  * domain out and in, and prints what callers saw and the time line. */
 #include "base/Settings.h"
+#include "runTool.h"
 #include "support/BackgroundCallers.h"
 #include "support/Fleet.h"
 
 #include <nlohmann/json.hpp>
 
-#include <csignal>
 #include <future>
 #include <iostream>
 
@@ -101,15 +101,9 @@
 } // namespace
 
 int main(int argc, char **argv) {
-  std::signal(SIGPIPE, SIG_IGN);
   if (argc != 2) {
     std::cerr << "usage: demo FOLDER\n";
     return 2;
   }
-  try {
-    return run(argv[1]);
-  } catch (const std::exception &error) {
-    std::cerr << "an answer could not be read: " << error.what() << "\n";
-    return 1;
-  }
+  return tools::runTool([&] { return run(argv[1]); });
 }
--- a/tools/measure/AddedLatency.cpp
+++ b/tools/measure/AddedLatency.cpp
@@ -1,12 +1,12 @@
 /** \file
  * What the nodes add to a call, against the same stand-in target called
  * directly in the same run. */
+#include "runTool.h"
 #include "standins/Caller.h"
 #include "support/FaultFixture.h"
 #include "support/ProcessUsage.h"
 
 #include <algorithm>
-#include <csignal>
 #include <iomanip>
 #include <iostream>
 #include <numeric>
@@ -105,10 +105,7 @@
             << perCall(gateStart, gateEnd, twoNodes) << "\n";
 }
 
-} // namespace
-
-int main() {
-  std::signal(SIGPIPE, SIG_IGN);
+int run() {
   Fleet fleet(makeMeasuredPlan());
   if (!fleet.start()) {
     std::cerr << "the fleet did not start\n";
@@ -117,4 +114,9 @@
   const double full = fullRate(fleet);
   for (const double share : {0.05, 0.7})
     measureAt(fleet, share, full);
+  return 0;
 }
+
+} // namespace
+
+int main() { return tools::runTool(run); }
--- a/tools/measure/Control.cpp
+++ b/tools/measure/Control.cpp
@@ -2,12 +2,12 @@
  * What control costs real nodes, over the size of the fleet: idle, under
  * changes of configuration, and when a sixth of the members is killed. */
 #include "measure/Table.h"
+#include "runTool.h"
 #include "support/FaultFixture.h"
 #include "support/ProcessUsage.h"
 
 #include <algorithm>
 #include <array>
-#include <csignal>
 #include <iostream>
 #include <numeric>
 
@@ -209,17 +209,11 @@
 
 /** The arguments are the sizes to measure, in members. */
 int main(int argc, char **argv) {
-  std::signal(SIGPIPE, SIG_IGN);
   std::vector<std::size_t> sizes{8, 16, 32, 64, 128};
   if (argc > 1) {
     sizes.clear();
     for (int n = 1; n < argc; ++n)
       sizes.push_back(std::strtoul(argv[n], nullptr, 10));
   }
-  try {
-    return run(sizes);
-  } catch (const std::exception &error) {
-    std::cerr << "an answer could not be read: " << error.what() << "\n";
-    return 1;
-  }
+  return tools::runTool([&] { return run(sizes); });
 }
--- a/tools/measure/Moves.cpp
+++ b/tools/measure/Moves.cpp
@@ -1,10 +1,10 @@
 /** \file
  * Latency while a failure domain leaves and returns, against the steady state
  * before it in the same run. */
+#include "runTool.h"
 #include "support/BackgroundCallers.h"
 #include "support/FaultFixture.h"
 
-#include <csignal>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
@@ -15,7 +15,7 @@
 using namespace plantainhatch::test;
 using nlohmann::json;
 
-constexpr double ServiceMs = 40;
+constexpr std::chrono::milliseconds ServiceTime{40};
 constexpr unsigned Slots = 12;
 constexpr unsigned Domains = 4;
 constexpr unsigned PerDomain = 2;
@@ -25,23 +25,10 @@
 /** Within each run. */
 constexpr std::chrono::milliseconds MoveAfter{1'000};
 
-FleetPlan makeFleetPlan() {
-  FleetPlan plan;
-  plan.rules = "service status path /status timeout 2s  # Test\n";
-  for (unsigned n = 0; n < Domains * PerDomain; ++n)
-    plan.vms.push_back({"domain-" + std::to_string(n % Domains),
-                        "status",
-                        Slots,
-                        Slots,
-                        220,
-                        {"--service-ms", std::to_string(ServiceMs)},
-                        {}});
-  return plan;
-}
-
 std::vector<std::string> makeLoad(std::chrono::milliseconds time,
                                   unsigned seed) {
-  const double rate = Share * Domains * PerDomain * Slots / (ServiceMs / 1000);
+  const double rate = Share * Domains * PerDomain * Slots /
+                      std::chrono::duration<double>(ServiceTime).count();
   return {"--rate", std::to_string(rate), "--ms", std::to_string(time.count()),
           "--seed", std::to_string(seed)};
 }
@@ -78,7 +65,7 @@
 }
 
 int run() {
-  Fleet fleet(makeFleetPlan());
+  Fleet fleet(makeStatusPlan(Domains * PerDomain, Domains, Slots, ServiceTime));
   if (!fleet.start()) {
     std::cerr << "the fleet did not start\n";
     return 1;
@@ -105,12 +92,4 @@
 
 } // namespace
 
-int main() {
-  std::signal(SIGPIPE, SIG_IGN);
-  try {
-    return run();
-  } catch (const std::exception &error) {
-    std::cerr << "an answer could not be read: " << error.what() << "\n";
-    return 1;
-  }
-}
+int main() { return tools::runTool(run); }
--- a/tools/measure/Overload.cpp
+++ b/tools/measure/Overload.cpp
@@ -1,11 +1,11 @@
 /** \file
  * Goodput and refusals of a fleet at twice what its slots bear, and the time
  * until it is back to normal. */
+#include "runTool.h"
 #include "support/BackgroundCallers.h"
 #include "support/FaultFixture.h"
 
 #include <algorithm>
-#include <csignal>
 #include <iomanip>
 #include <iostream>
 #include <memory>
@@ -16,9 +16,10 @@
 using namespace plantainhatch::test;
 using nlohmann::json;
 
-constexpr double ServiceMs = 60;
+constexpr std::chrono::milliseconds ServiceTime{60};
 constexpr unsigned Slots = 12;
 constexpr unsigned Targets = 5;
+constexpr unsigned Domains = 4;
 constexpr unsigned CallerProcesses = 4;
 constexpr std::chrono::milliseconds WarmTime{3'000};
 constexpr std::chrono::milliseconds RunTime{5'000};
@@ -30,22 +31,8 @@
 constexpr double NormalFactor = 1.5;
 constexpr unsigned MaxWindows = 40;
 
-FleetPlan makeFleetPlan() {
-  FleetPlan plan;
-  plan.rules = "service status path /status timeout 2s  # Test\n";
-  for (unsigned n = 0; n < Targets; ++n)
-    plan.vms.push_back({"domain-" + std::to_string(n % 4),
-                        "status",
-                        Slots,
-                        Slots,
-                        220,
-                        {"--service-ms", std::to_string(ServiceMs)},
-                        {}});
-  return plan;
-}
-
 /** What all callers saw. */
-struct Outcome {
+struct Observed {
   double answered = 0;
   double sent = 0;
   double refused = 0;
@@ -57,9 +44,11 @@
 };
 
 /** One process of callers would be busier than a node. */
-Outcome load(const Fleet &fleet, double share, std::chrono::milliseconds time) {
-  const double rate =
-      share * Targets * Slots / (ServiceMs / 1000) / CallerProcesses;
+Observed load(const Fleet &fleet, double share,
+              std::chrono::milliseconds time) {
+  const double rate = share * Targets * Slots /
+                      std::chrono::duration<double>(ServiceTime).count() /
+                      CallerProcesses;
   std::vector<std::unique_ptr<BackgroundCallers>> callers;
   callers.reserve(CallerProcesses);
   for (unsigned n = 0; n < CallerProcesses; ++n)
@@ -68,7 +57,7 @@
         std::vector<std::string>{"--rate", std::to_string(rate), "--ms",
                                  std::to_string(time.count()), "--seed",
                                  std::to_string(n + 1)}));
-  Outcome sum;
+  Observed sum;
   for (const auto &it : callers) {
     const json report = it->finish();
     const json &refusals = report.at("refusalLatencyMs");
@@ -87,26 +76,26 @@
   return sum;
 }
 
-double goodput(const Outcome &outcome, std::chrono::milliseconds time) {
-  return outcome.answered / std::chrono::duration<double>(time).count();
+double goodput(const Observed &observed, std::chrono::milliseconds time) {
+  return observed.answered / std::chrono::duration<double>(time).count();
 }
 
-void printRow(const std::string &name, const Outcome &outcome,
+void printRow(const std::string &name, const Observed &observed,
               std::chrono::milliseconds time) {
   std::cout << "| " << name << " | " << std::fixed << std::setprecision(1)
-            << goodput(outcome, time) << " | " << outcome.p99Ms << " | "
-            << outcome.refused << " | " << outcome.refusalP50Ms << " | "
-            << outcome.refusalP99Ms << " | " << outcome.unknown << " |\n";
+            << goodput(observed, time) << " | " << observed.p99Ms << " | "
+            << observed.refused << " | " << observed.refusalP50Ms << " | "
+            << observed.refusalP99Ms << " | " << observed.unknown << " |\n";
 }
 
 /** Loads the fleet in short windows. \return the time from \p since until the
  * start of the first window that is as good as \p steady. */
-Duration timeToNormal(const Fleet &fleet, const Outcome &steady,
+Duration timeToNormal(const Fleet &fleet, const Observed &steady,
                       TimePoint since) {
   TimePoint start = since;
   for (unsigned n = 0; n < MaxWindows; ++n) {
     start = std::chrono::steady_clock::now();
-    const Outcome window = load(fleet, NormalShare, WindowTime);
+    const Observed window = load(fleet, NormalShare, WindowTime);
     if (window.answered == window.sent &&
         window.p99Ms <= NormalFactor * steady.p99Ms)
       break;
@@ -115,7 +104,7 @@
 }
 
 int run() {
-  Fleet fleet(makeFleetPlan());
+  Fleet fleet(makeStatusPlan(Targets, Domains, Slots, ServiceTime));
   if (!fleet.start()) {
     std::cerr << "the fleet did not start\n";
     return 1;
@@ -124,16 +113,16 @@
   std::cout << "| load, share of the slots | answers/s | p99 ms | refused | "
                "refusal p50 ms | refusal p99 ms | unknown |\n"
                "|---|---|---|---|---|---|---|\n";
-  const Outcome steady = load(fleet, NormalShare, RunTime);
+  const Observed steady = load(fleet, NormalShare, RunTime);
   printRow("60%", steady, RunTime);
   double best = 0;
   for (const double share : {0.9, 1.0, 1.2}) {
-    const Outcome report = load(fleet, share, RunTime);
+    const Observed report = load(fleet, share, RunTime);
     printRow(std::to_string(static_cast<int>(share * 100)) + "%", report,
              RunTime);
     best = std::max(best, goodput(report, RunTime));
   }
-  const Outcome surge = load(fleet, SurgeShare, RunTime);
+  const Observed surge = load(fleet, SurgeShare, RunTime);
   const TimePoint surgeEnd = std::chrono::steady_clock::now();
   printRow("200%", surge, RunTime);
   const Duration recovery = timeToNormal(fleet, steady, surgeEnd);
@@ -148,12 +137,4 @@
 
 } // namespace
 
-int main() {
-  std::signal(SIGPIPE, SIG_IGN);
-  try {
-    return run();
-  } catch (const std::exception &error) {
-    std::cerr << "an answer could not be read: " << error.what() << "\n";
-    return 1;
-  }
-}
+int main() { return tools::runTool(run); }
--- a/tools/measure/Picks.cpp
+++ b/tools/measure/Picks.cpp
@@ -1,10 +1,10 @@
 /** \file
  * Compares the policies that pick targets, on the same fleet, load and seeds.
  */
+#include "runTool.h"
 #include "standins/Caller.h"
 #include "support/FaultFixture.h"
 
-#include <csignal>
 #include <iomanip>
 #include <iostream>
 
@@ -16,9 +16,10 @@
 
 constexpr std::chrono::milliseconds WarmTime{1'500};
 constexpr std::chrono::milliseconds RunTime{4'000};
-constexpr double ServiceMs = 40;
+constexpr std::chrono::milliseconds ServiceTime{40};
 constexpr unsigned Slots = 12;
 constexpr unsigned Targets = 5;
+constexpr unsigned Domains = 4;
 constexpr double StragglerFactor = 10;
 constexpr unsigned SwitchMs = 50;
 
@@ -44,26 +45,12 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-FleetPlan makeFleetPlan(const std::string &policy, const std::string &measure) {
-  FleetPlan plan;
-  plan.rules = "service status path /status timeout 2s  # Test\n" + measure;
-  for (unsigned n = 0; n < Targets; ++n)
-    plan.vms.push_back({"domain-" + std::to_string(n % 4),
-                        "status",
-                        Slots,
-                        Slots,
-                        220,
-                        {"--service-ms", std::to_string(ServiceMs)},
-                        {}});
-  plan.nodeOptions = {"--policy", policy};
-  return plan;
-}
-
 CallerReport load(Fleet &fleet, double share, std::chrono::milliseconds time,
                   std::uint64_t seed) {
   CallerOptions options;
   options.nodes = fleet.callers();
-  options.rate = share * Targets * Slots / (ServiceMs / 1000);
+  options.rate = share * Targets * Slots /
+                 std::chrono::duration<double>(ServiceTime).count();
   options.duration = time;
   options.seed = seed;
   return Caller(options).run();
@@ -81,13 +68,16 @@
 
 void measure(const Situation &situation, const std::string &policy,
              const std::string &label, const std::string &rule) {
-  Fleet fleet(makeFleetPlan(policy, rule));
+  FleetPlan plan = makeStatusPlan(Targets, Domains, Slots, ServiceTime);
+  plan.rules += rule;
+  plan.nodeOptions = {"--policy", policy};
+  Fleet fleet(plan);
   if (!fleet.start()) {
     std::cerr << "the fleet did not start\n";
     return;
   }
   if (situation.hasStraggler)
-    fleet.setTarget(0, {{"serviceMs", ServiceMs * StragglerFactor}});
+    fleet.setTarget(0, {{"serviceMs", ServiceTime.count() * StragglerFactor}});
   if (situation.hasSwitching)
     fleet.setTarget(0, {{"switchMs", SwitchMs}});
   load(fleet, situation.share, WarmTime, 1);
@@ -100,12 +90,9 @@
                "|---|---|---|---|---|---|---|\n";
 }
 
-} // namespace
-
-/** \param wanted is a part of the names of the situations to measure. */
-int main(int argc, char **argv) {
-  std::signal(SIGPIPE, SIG_IGN);
-  const std::string wanted = argc > 1 ? argv[1] : "";
+/** \param wanted is a part of the names of the situations to measure; all, and
+ * the budgets, if it is empty. */
+int run(const std::string &wanted) {
   printHead("policy");
   for (const Situation &situation : Situations)
     for (const char *const policy : Policies)
@@ -122,4 +109,11 @@
       {"500/s", "measure rate 500/s bytes 96KB/s  # T\n"}};
   for (const auto &[name, rule] : budgets)
     measure(Situations[3], "hot-cold", name, rule);
+  return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  return tools::runTool([&] { return run(argc > 1 ? argv[1] : ""); });
 }
