Keep the slot of a given-up call until its target has let go of it

Cause: the gate freed the slot of a call that was given up (a hedge that lost, a deadline, a caller that left) when it closed the connection. The target learns of that when its loop comes to it, and the next call could be there first. A target that does not run at all for a while collects a call for each that is given up.

Change: the gate closes its sending side only, forgets what still comes, and frees the slot when the target closes. A target that heeds the end of a caller closes at once; one that does not closes when it has answered. The lesson for the limit is learnt at once as before.

Before: GivenUpCalls.ThawedTargetHasNoMoreThanItsSlotsToRun, 6 slots, 30 calls given up while the target is frozen: more than 6 ran after the thaw.

Conclusion: the count at the gate is now the target's own. The price is that a frozen target's slots stay taken, which is what they are.

--- a/src/connection/ConnectionRegistry.cpp
+++ b/src/connection/ConnectionRegistry.cpp
@@ -1,5 +1,6 @@
 #include "connection/ConnectionRegistry.h"
 
+#include <fcntl.h>
 #include <sys/socket.h>
 
 namespace plantainhatch {
@@ -39,6 +40,13 @@
   return it != sockets.end() && isPeerOpen(it->second.get());
 }
 
+int ConnectionRegistry::duplicate(SoupMessage *message) {
+  const auto it = sockets.find(soup_message_get_connection_id(message));
+  if (it == sockets.end() || g_socket_is_closed(it->second.get()) != FALSE)
+    return -1;
+  return fcntl(g_socket_get_fd(it->second.get()), F_DUPFD_CLOEXEC, 0);
+}
+
 void ConnectionRegistry::add(guint64 connection, GSocket *socket) {
   std::erase_if(sockets, [](const auto &entry) {
     return g_socket_is_closed(entry.second.get()) != FALSE;
--- a/src/connection/ConnectionRegistry.h
+++ b/src/connection/ConnectionRegistry.h
@@ -1,5 +1,5 @@
 /** \file
- * Tells whether the connection of an answer is still open at its end. */
+ * Reaches the socket of a message that the library has sent. */
 #ifndef PLANTAINHATCH_CONNECTION_CONNECTIONREGISTRY_H
 #define PLANTAINHATCH_CONNECTION_CONNECTIONREGISTRY_H
 
@@ -27,6 +27,11 @@
    * called, and the head of the answer has come. */
   bool isOpen(SoupMessage *message);
 
+  /** A second descriptor of the connection of \p message, which keeps it open
+   * when the library closes its own. \return -1 if there is none or no more.
+   * \pre follow() was called. */
+  int duplicate(SoupMessage *message);
+
 private:
   std::map<guint64, GObjectPtr<GSocket>> sockets;
 
--- a/src/connection/Exchange.cpp
+++ b/src/connection/Exchange.cpp
@@ -104,6 +104,17 @@
   g_cancellable_cancel(cancellable.get());
 }
 
+void Exchange::giveUp(LingeringClose::Action over) {
+  const int fd =
+      wasSent ? ConnectionRegistry::of(session.get()).duplicate(message.get())
+              : -1;
+  cancel();
+  if (fd < 0)
+    over();
+  else
+    LingeringClose::start(fd, std::move(over));
+}
+
 void Exchange::finishHead(GAsyncResult *result) {
   GError *rawError = nullptr;
   body.reset(soup_session_send_finish(session.get(), result, &rawError));
--- a/src/connection/Exchange.h
+++ b/src/connection/Exchange.h
@@ -7,6 +7,7 @@
 #include "connection/AnswerSource.h"
 #include "connection/ConnectionRegistry.h"
 #include "connection/HttpSession.h"
+#include "connection/LingeringClose.h"
 #include "request/CallRequest.h"
 
 #include <functional>
@@ -58,6 +59,11 @@
   void read(ChunkReceiver receiver) override;
   void cancel() override;
 
+  /** As cancel(), and tells when the other process has let go of the request.
+   * \param over is called once: at once if nothing was sent, else when the
+   * other process has closed the connection. */
+  void giveUp(LingeringClose::Action over);
+
 private:
   GObjectPtr<SoupSession> session;
   GObjectPtr<SoupMessage> message;
--- a/src/node/GateCall.cpp
+++ b/src/node/GateCall.cpp
@@ -28,8 +28,7 @@
     task.gate.abandon(callId);
   if (state != State::Sent && state != State::Answered)
     return;
-  exchange->cancel();
-  end(GateOutcome::Cancelled);
+  giveUp(GateOutcome::Cancelled);
 }
 
 void GateCall::start() {
@@ -79,15 +78,13 @@
   }
   if (state == State::Ended)
     return;
-  exchange->cancel();
-  end(GateOutcome::Cancelled);
+  giveUp(GateOutcome::Cancelled);
 }
 
 void GateCall::onDeadline() {
   if (state != State::Sent)
     return;
-  exchange->cancel();
-  end(GateOutcome::TimedOut);
+  giveUp(GateOutcome::TimedOut);
   deliver(HandFailed{false, "deadline"});
 }
 
@@ -135,13 +132,25 @@
   end(GateOutcome::Failed);
 }
 
+void GateCall::giveUp(GateOutcome outcome) {
+  leave();
+  task.giveUp(callId, outcome);
+  exchange->giveUp([&gateTask = task, id = callId] {
+    gateTask.finish(id, GateOutcome::Cancelled);
+  });
+}
+
 void GateCall::end(GateOutcome outcome) {
   if (state == State::Ended)
     return;
+  leave();
+  task.finish(callId, outcome);
+}
+
+void GateCall::leave() {
   state = State::Ended;
   deadlineTimer.stop();
   task.idsInFlight.erase(idInFlight);
-  task.finish(callId, outcome);
 }
 
 void GateCall::deliver(HandOverResult result) {
--- a/src/node/GateCall.h
+++ b/src/node/GateCall.h
@@ -52,7 +52,8 @@
 using HandOverResult = std::variant<HandedAnswer, HandRefused, HandFailed>;
 
 /** Holds one slot of the gate from admission until the answer has been read to
- * its end, has broken off, or was cancelled. Used on the main loop only. */
+ * its end or has broken off, or, once it is given up, until the target has let
+ * go of it. Used on the main loop only. */
 class GateCall
     : public AnswerSource,
       public boost::intrusive::list_base_hook<
@@ -75,8 +76,8 @@
 
   /** Reads the target's answer. */
   void read(ChunkReceiver receiver) override;
-  /** Gives up, in any state: the target sees its connection close, and the slot
-   * is free. */
+  /** Gives up, in any state: the target sees its connection close. The slot is
+   * free when the target has closed it, too. */
   void cancel() override;
 
   CallId id() const { return callId; }
@@ -100,7 +101,9 @@
   void onAnswer(AnswerHead head);
   void onShed();
   void onError(const ExchangeError &error);
+  void giveUp(GateOutcome outcome);
   void end(GateOutcome outcome);
+  void leave();
   void deliver(HandOverResult result);
   HeaderList extraHeaders() const;
 };
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -178,6 +178,12 @@
   return it == waiting.end() ? nullptr : &*it;
 }
 
+void GateTask::giveUp(CallId id, GateOutcome outcome) {
+  services.metrics.add("gate_given_up_total");
+  gate.giveUp(id, outcome, NodeServices::now());
+  recordCut();
+}
+
 void GateTask::finish(CallId id, GateOutcome outcome) {
   const TargetState before = gate.target().state;
   const auto results = gate.finish(id, outcome, NodeServices::now());
--- a/src/node/GateTask.h
+++ b/src/node/GateTask.h
@@ -83,6 +83,7 @@
   void recordCut();
   void settle(const std::vector<QueueResult> &results);
   GateCall *findWaiting(CallId id);
+  void giveUp(CallId id, GateOutcome outcome);
   void finish(CallId id, GateOutcome outcome);
 };
 
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -106,6 +106,13 @@
   it->second.latency = now - it->second.startedAt;
 }
 
+void Gate::giveUp(CallId id, GateOutcome outcome, TimePoint now) {
+  const auto it = calls.find(id);
+  assert(it != calls.end() &&
+         "a call is given up between its admission and its end");
+  learn(it->second, outcome, now);
+}
+
 std::vector<QueueResult> Gate::finish(CallId id, GateOutcome outcome,
                                       TimePoint now) {
   const auto it = calls.find(id);
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -118,6 +118,11 @@
    * \pre As for finish(). */
   void answered(CallId id, TimePoint now);
 
+  /** A call is no longer wanted, and the target has not let go of it yet: it
+   * keeps its slot until it is finished as Cancelled.
+   * \pre As for finish(). */
+  void giveUp(CallId id, GateOutcome outcome, TimePoint now);
+
   /** A call that was admitted has ended.
    * \pre admit() or a QueueResult admitted \p id and it was not finished
    * before. \return calls that left the queue. */
