Read the answer of a given-up call to its end

The answer of the given-up call was complete and the connection idle, and a server need not close an idle connection when its peer closes the sending side; waiting for the close of the connection waited for ever. The sockets stood in CLOSE_WAIT at the target.

Ruled out: a call that was counted and never ended at the node (callsInProgress was 0), a target that was still at work (running 0, cancelled 1).

Change: the exchange itself reads on and forgets, and the call is over with the end of the answer, with a broken connection, or after 256 KiB. It does nothing to a connection that the library has given to its pool. A stopping node no longer waits for calls that nobody wants.

Conclusion: the end of an answer is known to the HTTP library only; a look at the bare connection is not enough.

--- a/src/connection/ConnectionRegistry.cpp
+++ b/src/connection/ConnectionRegistry.cpp
@@ -1,6 +1,5 @@
 #include "connection/ConnectionRegistry.h"
 
-#include <fcntl.h>
 #include <sys/socket.h>
 
 namespace plantainhatch {
@@ -40,11 +39,10 @@
   return it != sockets.end() && isPeerOpen(it->second.get());
 }
 
-int ConnectionRegistry::duplicate(SoupMessage *message) {
+bool ConnectionRegistry::closeSending(SoupMessage *message) {
   const auto it = sockets.find(soup_message_get_connection_id(message));
-  if (it == sockets.end() || g_socket_is_closed(it->second.get()) != FALSE)
-    return -1;
-  return fcntl(g_socket_get_fd(it->second.get()), F_DUPFD_CLOEXEC, 0);
+  return it != sockets.end() &&
+         g_socket_shutdown(it->second.get(), FALSE, TRUE, nullptr) != FALSE;
 }
 
 void ConnectionRegistry::add(guint64 connection, GSocket *socket) {
--- a/src/connection/ConnectionRegistry.h
+++ b/src/connection/ConnectionRegistry.h
@@ -27,10 +27,10 @@
    * called, and the head of the answer has come. */
   bool isOpen(SoupMessage *message);
 
-  /** A second descriptor of the connection of \p message, which keeps it open
-   * when the library closes its own. \return -1 if there is none or no more.
-   * \pre follow() was called. */
-  int duplicate(SoupMessage *message);
+  /** Closes the sending side of the connection of \p message.
+   * \return false if there is no connection, or no more.
+   * \pre follow() was called, and the library has not finished the message. */
+  bool closeSending(SoupMessage *message);
 
 private:
   std::map<guint64, GObjectPtr<GSocket>> sockets;
--- a/src/connection/Exchange.cpp
+++ b/src/connection/Exchange.cpp
@@ -79,6 +79,7 @@
                                              bytes.get());
   }
   g_signal_connect(message.get(), "starting", G_CALLBACK(onStarting), this);
+  g_signal_connect(message.get(), "finished", G_CALLBACK(onFinished), this);
   preventHiddenResend(message.get(), cancellable.get());
   ConnectionRegistry::of(session.get()).follow(message.get());
   return true;
@@ -92,6 +93,11 @@
 
 void Exchange::read(ChunkReceiver receiver) {
   chunkReceiver = std::move(receiver);
+  readNext();
+}
+
+void Exchange::readNext() {
+  isReading = true;
   intrusive_ptr_add_ref(this);
   g_input_stream_read_bytes_async(body.get(), ChunkBytes, G_PRIORITY_DEFAULT,
                                   cancellable.get(), onRead, this);
@@ -104,21 +110,55 @@
   g_cancellable_cancel(cancellable.get());
 }
 
-void Exchange::giveUp(LingeringClose::Action over) {
-  const int fd =
-      wasSent ? ConnectionRegistry::of(session.get()).duplicate(message.get())
-              : -1;
-  cancel();
-  if (fd < 0)
+void Exchange::giveUp(Action over) {
+  const bool isAtPeer =
+      wasSent && !isFinished && !isCancelled &&
+      ConnectionRegistry::of(session.get()).closeSending(message.get());
+  if (!isAtPeer) {
+    cancel();
     over();
+    return;
+  }
+  headReceiver = nullptr;
+  chunkReceiver = nullptr;
+  overAction = std::move(over);
+  if (body && !isReading)
+    discardNext();
+}
+
+void Exchange::discardNext() {
+  // Nothing can be sent on this connection any more.
+  soup_message_headers_replace(soup_message_get_response_headers(message.get()),
+                               "Connection", "close");
+  readNext();
+}
+
+void Exchange::onDiscarded(bool isBroken, GBytes *bytes) {
+  const std::size_t n = bytes == nullptr ? 0 : g_bytes_get_size(bytes);
+  discarded += n;
+  if (isBroken || n == 0 || discarded > MaxDiscarded)
+    finishGiveUp();
   else
-    LingeringClose::start(fd, std::move(over));
+    discardNext();
+}
+
+void Exchange::finishGiveUp() {
+  const Action over = std::exchange(overAction, nullptr);
+  cancel();
+  over();
 }
 
 void Exchange::finishHead(GAsyncResult *result) {
   GError *rawError = nullptr;
   body.reset(soup_session_send_finish(session.get(), result, &rawError));
   const GErrorPtr error(rawError);
+  if (overAction) {
+    if (error)
+      finishGiveUp();
+    else
+      discardNext();
+    return;
+  }
   const auto receiver = std::exchange(headReceiver, nullptr);
   if (isCancelled || !receiver)
     return;
@@ -164,6 +204,11 @@
   GBytesPtr bytes(
       g_input_stream_read_bytes_finish(body.get(), result, &rawError));
   const GErrorPtr error(rawError);
+  isReading = false;
+  if (overAction) {
+    onDiscarded(error != nullptr, bytes.get());
+    return;
+  }
   const auto receiver = std::exchange(chunkReceiver, nullptr);
   if (isCancelled || !receiver)
     return;
@@ -179,6 +224,10 @@
   static_cast<Exchange *>(data)->wasSent = true;
 }
 
+void Exchange::onFinished(SoupMessage * /*message*/, gpointer data) {
+  static_cast<Exchange *>(data)->isFinished = true;
+}
+
 void Exchange::onSent(GObject * /*session*/, GAsyncResult *result,
                       gpointer data) {
   const boost::intrusive_ptr<Exchange> self(static_cast<Exchange *>(data),
--- a/src/connection/Exchange.h
+++ b/src/connection/Exchange.h
@@ -7,7 +7,6 @@
 #include "connection/AnswerSource.h"
 #include "connection/ConnectionRegistry.h"
 #include "connection/HttpSession.h"
-#include "connection/LingeringClose.h"
 #include "request/CallRequest.h"
 
 #include <functional>
@@ -59,10 +58,20 @@
   void read(ChunkReceiver receiver) override;
   void cancel() override;
 
-  /** As cancel(), and tells when the other process has let go of the request.
-   * \param over is called once: at once if nothing was sent, else when the
-   * other process has closed the connection. */
-  void giveUp(LingeringClose::Action over);
+  using Action = std::function<void()>;
+
+  /** What is read of an answer that is no longer wanted. */
+  static constexpr std::size_t MaxDiscarded = 256UL * 1024;
+
+  /** Lets the other process see that the answer is no longer wanted, and tells
+   * when it has let go of the request. Only the sending side of the connection
+   * is closed: one who heeds that closes the connection at once, one who
+   * doesn't answers, and in both cases the work is over at that moment and not
+   * before, which a plain close would never tell. One who streams a long answer
+   * and does not read is cut after MaxDiscarded, and sees that at its next
+   * write. \param over is called once; at once if nothing was sent, or all was
+   * received. */
+  void giveUp(Action over);
 
 private:
   GObjectPtr<SoupSession> session;
@@ -71,7 +80,12 @@
   GObjectPtr<GInputStream> body;
   HeadReceiver headReceiver;
   ChunkReceiver chunkReceiver;
+  /** Set once the answer is no longer wanted. */
+  Action overAction;
+  std::size_t discarded = 0;
   bool wasSent = false;
+  bool isReading = false;
+  bool isFinished = false;
   bool isCancelled = false;
 
   Exchange(SoupSession *session, HeadReceiver receiver);
@@ -81,9 +95,14 @@
   bool isBodyWhole() const;
   void finishHead(GAsyncResult *result);
   void finishRead(GAsyncResult *result);
+  void readNext();
+  void discardNext();
+  void onDiscarded(bool isBroken, GBytes *bytes);
+  void finishGiveUp();
   AnswerHead readHead() const;
 
   static void onStarting(SoupMessage *message, gpointer data);
+  static void onFinished(SoupMessage *message, gpointer data);
   static void onSent(GObject *session, GAsyncResult *result, gpointer data);
   static void onRead(GObject *stream, GAsyncResult *result, gpointer data);
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -116,7 +116,7 @@
 
 void Node::continueStop() {
   const bool hasSettled = NodeServices::now() - stopRequestedAt >= SettleTime;
-  if (!hasSettled || callsInProgress > 0 || gate->state().inFlight() > 0)
+  if (!hasSettled || callsInProgress > 0 || gate->state().wanted() > 0)
     return;
   if (!stopped)
     return;
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -110,9 +110,15 @@
   const auto it = calls.find(id);
   assert(it != calls.end() &&
          "a call is given up between its admission and its end");
+  it->second.isGivenUp = true;
   learn(it->second, outcome, now);
 }
 
+unsigned Gate::wanted() const {
+  return static_cast<unsigned>(
+      std::ranges::count(calls | std::views::values, false, &Call::isGivenUp));
+}
+
 std::vector<QueueResult> Gate::finish(CallId id, GateOutcome outcome,
                                       TimePoint now) {
   const auto it = calls.find(id);
@@ -188,7 +194,7 @@
 
 void Gate::start(const GateRequest &request, TimePoint now) {
   calls.emplace(request.id, Call{now, request.fingerprint, currentTarget.bootId,
-                                 std::nullopt});
+                                 std::nullopt, false});
   peak = std::max(peak, inFlight());
 }
 
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -149,6 +149,8 @@
 
   const Target &target() const { return currentTarget; }
   unsigned inFlight() const { return static_cast<unsigned>(calls.size()); }
+  /** Calls in flight that were not given up. */
+  unsigned wanted() const;
   std::size_t queued() const { return queue.size(); }
   unsigned limit() const;
   bool isCold() const { return gateLimit.isCold(); }
@@ -164,6 +166,7 @@
      * one. */
     std::string bootId;
     std::optional<Duration> latency;
+    bool isGivenUp = false;
   };
 
   Target currentTarget;
