Put every fault at every step of changes, joins, leaves and announcements

Cause: the matrix of what nodes share was missing; single faults at single steps were tested only.

Change: one table of 12 faults (platform, command, another node, the node, its target); applying and moving at 4 steps, joining at 2, leaving at 3, announcing at 2, and pairs of faults for moving and announcing. The platform's stand-in can hold writes alone, so that a command gives up before its swap is carried out. A draining target gives its last answer a turn to leave.

Ruled out as faults of the product: a refusal of a leaving node for which no other had room (told not-run, rightly), a stand-in that ended before its last answer had left.

Conclusion: pairs for joining, leaving and applying are still to be done.

--- a/test/standins/Platform.cpp
+++ b/test/standins/Platform.cpp
@@ -50,12 +50,22 @@
     return;
   }
   countArrival(call->request());
-  if (mode != "late") {
+  if (mode != "late" || !isHeld(call->request())) {
     carryOut(call);
     return;
   }
   const auto timer = std::make_shared<Timer>();
-  timer->startOnce(delay, [this, timer, call] { carryOut(call); });
+  ++delayed;
+  timer->startOnce(delay, [this, timer, call] {
+    --delayed;
+    carryOut(call);
+  });
+}
+
+bool Platform::isHeld(const CallRequest &request) const {
+  return heldPart.empty() ||
+         (request.method != "GET" &&
+          request.target.find(heldPart) != std::string::npos);
 }
 
 void Platform::countArrival(const CallRequest &request) {
@@ -64,6 +74,9 @@
   if (path.starts_with(Tables) && path.ends_with(Suffix))
     ++arrivals[unescape(path.substr(Tables.size(), path.size() - Tables.size() -
                                                        Suffix.size()))];
+  if (request.method == "PUT")
+    ++arrivals["objects" +
+               path.substr(path.rfind('/'), path.rfind('-') - path.rfind('/'))];
 }
 
 void Platform::carryOut(const IncomingCallPtr &call) {
@@ -79,10 +92,12 @@
 
 void Platform::control(const IncomingCallPtr &call) {
   if (call->request().path() == "/standin/stats") {
-    call->reply(
-        200, {},
-        json{{"reads", reads}, {"writes", writes}, {"arrivals", arrivals}}
-            .dump());
+    call->reply(200, {},
+                json{{"reads", reads},
+                     {"writes", writes},
+                     {"delayed", delayed},
+                     {"arrivals", arrivals}}
+                    .dump());
     return;
   }
   if (call->request().path() == "/standin/set-row") {
@@ -100,6 +115,7 @@
   mode = order.value("mode", mode);
   delay = std::chrono::milliseconds(order.value("delayMs", 0));
   losses = order.value("losses", -1);
+  heldPart = order.value("only", "");
   call->reply(200, {}, "{}");
 }
 
--- a/test/standins/Platform.h
+++ b/test/standins/Platform.h
@@ -38,15 +38,21 @@
   std::uint64_t nextTag = 1;
   std::string mode = "up";
   std::chrono::milliseconds delay{0};
+  /** If not empty, "late" is for writes with this in their path only. */
+  std::string heldPart;
   /** Writes for which "lose" still applies; negative for all. */
   int losses = -1;
   std::uint64_t reads = 0;
   std::uint64_t writes = 0;
-  /** Transactions by table, counted when they arrive. */
+  /** Requests that "late" has not carried out yet. */
+  std::uint64_t delayed = 0;
+  /** Transactions by table, and writes of objects by what stands before their
+   * last hyphen, counted when they arrive. */
   std::map<std::string, std::uint64_t> arrivals;
 
   void serve(const IncomingCallPtr &call);
   void carryOut(const IncomingCallPtr &call);
+  bool isHeld(const CallRequest &request) const;
   void countArrival(const CallRequest &request);
   void control(const IncomingCallPtr &call);
   void serveTable(const IncomingCallPtr &call, const std::string &path);
--- a/test/standins/Target.cpp
+++ b/test/standins/Target.cpp
@@ -58,9 +58,10 @@
 void Target::drain(std::function<void()> done) {
   announceTimer.stop();
   post("/plantainhatch/v1/leave", {{"bootId", bootId}});
+  // One more turn lets the last answer leave.
   drainTimer.startRepeating(std::chrono::milliseconds(20),
                             [this, done = std::move(done)] {
-                              if (running == 0)
+                              if (running == 0 && std::exchange(isIdle, true))
                                 done();
                             });
 }
--- a/test/standins/Target.h
+++ b/test/standins/Target.h
@@ -86,6 +86,8 @@
   unsigned peak = 0;
   std::uint64_t runs = 0;
   std::uint64_t overruns = 0;
+  /** Nothing ran when it was last looked while draining. */
+  bool isIdle = false;
   std::uint64_t cancelled = 0;
   std::map<std::string, unsigned> runsByKey;
   std::map<std::string, unsigned> usesByConnection;
--- a/test/support/Fleet.h
+++ b/test/support/Fleet.h
@@ -84,6 +84,7 @@
   CommandOutput command(const std::vector<std::string> &words);
   /** Writes a file into the fleet's folder. \return its name. */
   std::string write(const std::string &name, const std::string &content);
+  const std::string &operatorSettingsFile() const { return operatorSettings; }
   /** Sets the fault of the platform's stand-in. */
   void setPlatform(const nlohmann::json &order);
   /** Changes a target's behaviour. */
--- /dev/null
+++ b/test/support/FleetFaults.h
@@ -0,0 +1,64 @@
+/** \file
+ * The faults of one process of a fleet, as a table for matrices of faults. */
+#ifndef PLANTAINHATCH_TEST_SUPPORT_FLEETFAULTS_H
+#define PLANTAINHATCH_TEST_SUPPORT_FLEETFAULTS_H
+
+#include "support/Fleet.h"
+
+#include <chrono>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace plantainhatch::test {
+
+/** Whom a fault strikes. */
+enum class FaultParty { PlatformStore, Command, Peer, Actor, ActorTarget };
+
+/** Where faults strike. */
+struct FaultSite {
+  Fleet &fleet;
+  /** The VM that joins, leaves or announces. */
+  std::size_t actor = 0;
+  /** Another VM. */
+  std::size_t peer = 0;
+  /** The operators' command that is at work, if any. */
+  ChildProcess *command = nullptr;
+};
+
+/** One fault. */
+struct FleetFault {
+  FaultParty party;
+  const char *name;
+  void (*strike)(FaultSite &);
+  void (*mend)(FaultSite &);
+};
+
+/** One fault, or several at once. */
+using FaultList = std::vector<const FleetFault *>;
+
+/** Answers and writes come this much later, which is longer than a node waits.
+ */
+inline constexpr std::chrono::milliseconds FaultDelay{1'800};
+
+/** All faults of the \p parties, one by one. */
+std::vector<FaultList> faultsOf(std::span<const FaultParty> parties);
+
+/** Each fault of the \p parties with the one \p distance further on, if another
+ * party has that. */
+std::vector<FaultList> faultPairsOf(std::span<const FaultParty> parties,
+                                    std::size_t distance);
+
+/** Whether one of \p faults strikes \p party. */
+bool strikes(const FaultList &faults, FaultParty party);
+
+/** A row's name in findings. */
+std::string describe(const FaultList &faults, const std::string &step);
+
+void strikeAll(const FaultList &faults, FaultSite &site);
+/** Mends all, and sets the platform right whatever befell it. */
+void mendAll(const FaultList &faults, FaultSite &site);
+
+} // namespace plantainhatch::test
+
+#endif
