Tell late what a node could not tell in time while following

Cause: a follower of the time line asked all nodes for what was later than the newest event that it had printed. A node that could not be asked for a while had older events, and these were never printed.

Ruled out: doubles instead; each event is kept once by time, node, kind and subject.

Change: the follower asks for the last 60 s each time, prints what it has not printed, and forgets what is older.

Before: Timeline.FollowingTellsEachEventOnceAlsoThoseOfANodeThatWasFrozen missed the start of the node that was frozen.

Conclusion: a node that is out of reach for longer than 60 s is still missed by a follower; the whole time line has it.

--- a/src/operator/timelineCommand.cpp
+++ b/src/operator/timelineCommand.cpp
@@ -21,7 +21,11 @@
 using nlohmann::json;
 
 constexpr std::chrono::milliseconds FollowInterval{500};
+/** A node that could not be asked for this long is asked for what it has
+ * recorded meanwhile. */
+constexpr std::chrono::seconds FollowWindow{60};
 constexpr unsigned MaxRows = 100'000;
+constexpr unsigned LogicalBits = 16;
 
 /** Events in causal order, each once. */
 class MergedEvents {
@@ -36,14 +40,24 @@
     }
   }
 
-  /** Events later than \p since that pass \p filter. */
-  std::vector<json> take(HybridTime since, const std::string &filter) const {
-    std::vector<json> taken;
+  /** Events later than \p since that pass \p filter and were not taken before.
+   */
+  std::vector<json> take(HybridTime since, const std::string &filter) {
+    std::vector<json> found;
     for (const auto &[key, event] : events)
       if (key.time > since &&
-          (filter.empty() || event.dump().find(filter) != std::string::npos))
-        taken.push_back(event);
-    return taken;
+          (filter.empty() || event.dump().find(filter) != std::string::npos) &&
+          taken.insert(key).second)
+        found.push_back(event);
+    return found;
+  }
+
+  /** Drops what is older than \p time and will not be read again. */
+  void forget(HybridTime time) {
+    const auto isOld = [&](const Key &key) { return key.time <= time; };
+    std::erase_if(events,
+                  [&](const auto &entry) { return isOld(entry.first); });
+    std::erase_if(taken, isOld);
   }
 
 private:
@@ -55,6 +69,7 @@
     auto operator<=>(const Key &) const = default;
   };
   std::map<Key, json> events;
+  std::set<Key> taken;
 };
 
 std::string formatWallTime(std::int64_t wallMs) {
@@ -75,6 +90,13 @@
          event.value("cause", "") + "]\n";
 }
 
+HybridTime timeBefore(std::chrono::milliseconds ago) {
+  const auto then = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now() - ago);
+  return HybridTime{static_cast<std::uint64_t>(then.time_since_epoch().count())
+                    << LogicalBits};
+}
+
 /** Reads "30s", "5m", "2h" as a time that long ago, and a plain number as an
  * event's time. */
 std::optional<HybridTime> parseSince(const std::string &text) {
@@ -93,11 +115,7 @@
     ago = std::chrono::hours(n);
   else if (unit != 's')
     return std::nullopt;
-  constexpr unsigned LogicalBits = 16;
-  const auto then = std::chrono::time_point_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now() - ago);
-  return HybridTime{static_cast<std::uint64_t>(then.time_since_epoch().count())
-                    << LogicalBits};
+  return timeBefore(ago);
 }
 
 void addLiving(CommandContext &context, MergedEvents &merged,
@@ -141,21 +159,15 @@
   return text;
 }
 
-HybridTime timeOf(const json &event) {
-  return HybridTime::parse(event.value("time", "")).value_or(HybridTime{});
-}
-
-/** Prints what is new, until the timeout. */
-void follow(CommandContext &context, HybridTime since) {
+/** Prints what is new, also what a node tells late, until the timeout. */
+void follow(CommandContext &context, MergedEvents &merged, HybridTime since) {
   const TimePoint giveUpAt =
       std::chrono::steady_clock::now() + context.options.timeout;
   while (std::chrono::steady_clock::now() < giveUpAt) {
-    MergedEvents merged;
+    since = std::max(since, timeBefore(FollowWindow));
     addLiving(context, merged, since);
-    const auto events = merged.take(since, context.options.filter);
-    context.print(format(context, events));
-    if (!events.empty())
-      since = timeOf(events.back());
+    context.print(format(context, merged.take(since, context.options.filter)));
+    merged.forget(since);
     pause(FollowInterval);
   }
 }
@@ -182,7 +194,7 @@
     return result;
   context.print(result.output);
   result.output.clear();
-  follow(context, events.empty() ? *since : timeOf(events.back()));
+  follow(context, merged, *since);
   return result;
 }
 
