Use one table of faults in all matrices

Cause: the matrix of calls that run at most once had a table of faults of its own, with the same faults by other names; the check of an order's outcome stood twice; the bound on long calls of LeaveMatrix was defined and not used; a follower of the time line filtered each event again at each turn.

Change: FleetFaults takes several VMs and a client of any kind, and all matrices use it. The pairs are the same: the order of the table is the old one, rotated. No row, check or bound is dropped; the outcome of each order is checked after its row and at the end by one function.

Ruled out: merging the matrices themselves, whose steps have little in common.

--- a/src/operator/timelineCommand.cpp
+++ b/src/operator/timelineCommand.cpp
@@ -40,14 +40,13 @@
     }
   }
 
-  /** Events later than \p since that pass \p filter and were not taken before.
-   */
+  /** Events later than \p since that pass \p filter, each once. The filter is
+   * the same each time. */
   std::vector<json> take(HybridTime since, const std::string &filter) {
     std::vector<json> found;
     for (const auto &[key, event] : events)
-      if (key.time > since &&
-          (filter.empty() || event.dump().find(filter) != std::string::npos) &&
-          taken.insert(key).second)
+      if (key.time > since && taken.insert(key).second &&
+          (filter.empty() || event.dump().find(filter) != std::string::npos))
         found.push_back(event);
     return found;
   }
--- a/test/fault/AtMostOnceMatrixTest.cpp
+++ b/test/fault/AtMostOnceMatrixTest.cpp
@@ -4,11 +4,11 @@
 #include "operator/MainLoop.h"
 #include "request/HeaderNames.h"
 #include "support/FaultFixture.h"
+#include "support/FleetFaults.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
-#include <span>
 
 using namespace plantainhatch;
 using namespace plantainhatch::test;
@@ -17,31 +17,11 @@
 
 namespace {
 
-/** Who fails. */
-enum class Party { Ingress, Gate, TargetProcess, PlatformStore, CallerItself };
-
-/** How. */
-enum class Failure { Kill, Freeze, Cut, Down, Slow, Late, LoseAnswers };
-
-struct Fault {
-  Party party;
-  Failure failure;
-  const char *name;
-};
-
-constexpr Fault Faults[] = {
-    {Party::Ingress, Failure::Kill, "ingress killed"},
-    {Party::Ingress, Failure::Freeze, "ingress frozen"},
-    {Party::Gate, Failure::Kill, "gates killed"},
-    {Party::Gate, Failure::Freeze, "gates frozen"},
-    {Party::TargetProcess, Failure::Kill, "targets killed"},
-    {Party::TargetProcess, Failure::Freeze, "targets frozen"},
-    {Party::PlatformStore, Failure::Down, "platform down"},
-    {Party::PlatformStore, Failure::Freeze, "platform frozen"},
-    {Party::PlatformStore, Failure::Slow, "platform answers late"},
-    {Party::PlatformStore, Failure::Late, "platform writes late"},
-    {Party::PlatformStore, Failure::LoseAnswers, "platform loses answers"},
-    {Party::CallerItself, Failure::Cut, "caller gone"}};
+/** The nodes of both targets are the actors, the ingress is the peer, and the
+ * caller is the client. */
+constexpr FaultParty Parties[] = {FaultParty::PlatformStore, FaultParty::Client,
+                                  FaultParty::Peer, FaultParty::Actor,
+                                  FaultParty::ActorTarget};
 
 /** When: the call is held there until the fault has come. */
 enum class Step {
@@ -72,13 +52,10 @@
 }
 
 constexpr milliseconds HoldTime{400};
-/** Longer than a node waits for the platform. */
-constexpr milliseconds FaultDelay{1'800};
 constexpr double HeldRunMs = 800;
 constexpr milliseconds BeforeOutcomeRun{150};
 /** Longer than the deadline of the rule. */
 constexpr milliseconds Patience{2'600};
-constexpr std::size_t Targets = 2;
 
 /** One time that a caller has sent a key. */
 struct Sending {
@@ -92,31 +69,25 @@
  * again through other nodes until an answer settles it. */
 class Matrix {
 public:
-  explicit Matrix(Step step) : fleet(makePlan(2, 1)), step(step) {}
+  explicit Matrix(Step step)
+      : fleet(makePlan(2, 1)), site{fleet,
+                                    {fleet.vmOf("release", 0),
+                                     fleet.vmOf("release", 1)},
+                                    fleet.vmOf("status"),
+                                    nullptr},
+        step(step) {}
 
   /** \pre Called once. */
-  void runAlone() {
-    CHECK(fleet.start());
-    for (const Fault &fault : Faults)
-      run({&fault, 1});
-    verifyAll();
-  }
-
-  /** Two faults at once, each pair of different parties \p distance apart in
-   * the table. \pre Called once. */
-  void runInPairs(std::size_t distance) {
+  void run(const std::vector<FaultList> &rows) {
     CHECK(fleet.start());
-    for (std::size_t n = 0; n < std::size(Faults); ++n) {
-      const Fault pair[] = {Faults[n],
-                            Faults[(n + distance) % std::size(Faults)]};
-      if (pair[0].party != pair[1].party)
-        run(pair);
-    }
+    std::ranges::for_each(rows,
+                          [this](const FaultList &faults) { runRow(faults); });
     verifyAll();
   }
 
 private:
   Fleet fleet;
+  FaultSite site;
   const Step step;
   unsigned nextKey = 0;
   std::vector<Sending> sendings;
@@ -125,24 +96,23 @@
   double attemptsBefore = 0;
   bool isOutcomeHeld = false;
 
-  void run(std::span<const Fault> faults) {
+  void runRow(const FaultList &faults) {
     const std::string key = "key-" + std::to_string(++nextKey);
-    const std::string row = describe(faults);
-    const std::size_t ingress = fleet.vmOf("status");
+    const std::string row = describe(faults, toString(step));
     const std::uint64_t arrivals = claimArrivals();
     hold();
     Sending sending{row, key, key + "-first", {}};
     std::optional<HttpAnswer> first;
     const auto caller = fleet.http.sendAsync(
-        fleet.vms[ingress]->callers, "POST", "/release/1", headersOf(sending),
+        fleet.vms[site.peer]->callers, "POST", "/release/1", headersOf(sending),
         "pallet", Patience,
         [&](HttpAnswer answer) { first = std::move(answer); });
     CHECK_TEXT(Fleet::waitUntil([&] { return isAtStep(arrivals); }),
                row.c_str());
-    for (const Fault &fault : faults)
-      apply(fault, caller.get());
-    if (step == Step::BeforeHandOver && !has(faults, Party::Gate))
-      signalAll(Party::Gate, SIGCONT);
+    site.endClient = [&] { g_cancellable_cancel(caller.get()); };
+    strikeAll(faults, site);
+    if (step == Step::BeforeHandOver && !strikes(faults, FaultParty::Actor))
+      signalActors(site, SIGCONT);
     Fleet::waitUntil([&] { return first.has_value(); });
     CHECK_TEXT(first.has_value(), row.c_str());
     sending.answer = *first;
@@ -151,17 +121,6 @@
     resend(row, key);
   }
 
-  std::string describe(std::span<const Fault> faults) const {
-    std::string text;
-    for (const Fault &fault : faults)
-      text += std::string(fault.name) + ", ";
-    return text + toString(step);
-  }
-
-  static bool has(std::span<const Fault> faults, Party party) {
-    return std::ranges::find(faults, party, &Fault::party) != faults.end();
-  }
-
   static HeaderList headersOf(const Sending &sending) {
     return {{"Idempotency-Key", sending.key},
             {headers::RequestId, sending.requestId}};
@@ -176,14 +135,14 @@
   }
 
   void setTargets(const json &order) {
-    for (std::size_t n = 0; n < Targets; ++n)
-      fleet.setTarget(fleet.vmOf("release", n), order);
+    for (const std::size_t vm : site.actors)
+      fleet.setTarget(vm, order);
   }
 
   std::uint64_t sumOfTargets(const char *name) {
     std::uint64_t sum = 0;
-    for (std::size_t n = 0; n < Targets; ++n) {
-      const json stats = fleet.targetStats(fleet.vmOf("release", n));
+    for (const std::size_t vm : site.actors) {
+      const json stats = fleet.targetStats(vm);
       if (!stats.is_null())
         sum += stats.at(name).get<std::uint64_t>();
     }
@@ -199,7 +158,8 @@
       fleet.setPlatform({{"mode", "slow"}, {"delayMs", HoldTime.count()}});
       break;
     case Step::BeforeHandOver:
-      signalAll(Party::Gate, SIGSTOP);
+      attemptsBefore = fleet.metric(site.peer, "attempts_total");
+      signalActors(site, SIGSTOP);
       break;
     case Step::DuringRun:
       setTargets({{"serviceMs", HeldRunMs}});
@@ -219,8 +179,7 @@
     case Step::AfterClaim:
       return claimArrivals() > arrivalsBefore;
     case Step::BeforeHandOver:
-      return fleet.metric(fleet.vmOf("status"), "attempts_total") >
-             attemptsBefore;
+      return fleet.metric(site.peer, "attempts_total") > attemptsBefore;
     case Step::DuringRun:
       return sumOfTargets("running") > 0;
     case Step::AnswerOnItsWay:
@@ -235,83 +194,13 @@
     return claimArrivals() > arrivalsBefore + 1;
   }
 
-  std::vector<ChildProcess *> processes(Party party) {
-    std::vector<ChildProcess *> found;
-    if (party == Party::Ingress)
-      found.push_back(fleet.vms[fleet.vmOf("status")]->node.get());
-    if (party == Party::PlatformStore)
-      found.push_back(fleet.platformProcess.get());
-    for (std::size_t n = 0; n < Targets; ++n) {
-      Vm &vm = *fleet.vms[fleet.vmOf("release", n)];
-      if (party == Party::Gate)
-        found.push_back(vm.node.get());
-      if (party == Party::TargetProcess)
-        found.push_back(vm.targetProcess.get());
-    }
-    return found;
-  }
-
-  void signalAll(Party party, int number) {
-    if (party == Party::Gate && number == SIGSTOP)
-      attemptsBefore = fleet.metric(fleet.vmOf("status"), "attempts_total");
-    for (ChildProcess *const process : processes(party))
-      process->signal(number);
-  }
-
-  void apply(const Fault &fault, GCancellable *caller) {
-    const auto setMode = [&](const char *mode) {
-      fleet.setPlatform({{"mode", mode}, {"delayMs", FaultDelay.count()}});
-    };
-    switch (fault.failure) {
-    case Failure::Kill:
-      for (ChildProcess *const process : processes(fault.party))
-        process->kill();
-      break;
-    case Failure::Freeze:
-      signalAll(fault.party, SIGSTOP);
-      break;
-    case Failure::Cut:
-      g_cancellable_cancel(caller);
-      break;
-    case Failure::Down:
-      setMode("down");
-      break;
-    case Failure::Slow:
-      setMode("slow");
-      break;
-    case Failure::Late:
-      setMode("late");
-      break;
-    case Failure::LoseAnswers:
-      setMode("lose");
-      break;
-    }
-  }
-
-  void mend(std::span<const Fault> faults, const std::string &row) {
-    for (const Fault &fault : faults) {
-      if (fault.failure == Failure::Freeze)
-        signalAll(fault.party, SIGCONT);
-      if (fault.failure == Failure::Kill)
-        restart(fault.party);
-    }
-    fleet.setPlatform({{"mode", "up"}});
+  void mend(const FaultList &faults, const std::string &row) {
+    mendAll(faults, site);
     isOutcomeHeld = false;
     CHECK_TEXT(Fleet::waitUntil([this] { return isServing(); }), row.c_str());
     setTargets({{"serviceMs", 2.0}, {"bodyMs", 0}});
   }
 
-  void restart(Party party) {
-    if (party == Party::Ingress)
-      fleet.startNode(fleet.vmOf("status"));
-    for (std::size_t n = 0; n < Targets; ++n) {
-      if (party == Party::Gate)
-        fleet.startNode(fleet.vmOf("release", n));
-      if (party == Party::TargetProcess)
-        fleet.startTarget(fleet.vmOf("release", n));
-    }
-  }
-
   bool isServing() {
     for (std::size_t n = 0; n < fleet.vms.size(); ++n) {
       const json state = fleet.status(n);
@@ -319,8 +208,7 @@
           state.value("present", 0U) != fleet.vms.size())
         return false;
     }
-    for (std::size_t n = 0; n < Targets; ++n) {
-      const std::size_t vm = fleet.vmOf("release", n);
+    for (const std::size_t vm : site.actors) {
       if (fleet.status(vm).at("gate").at("state") == "absent" ||
           fleet.targetStats(vm).is_null())
         return false;
@@ -395,33 +283,33 @@
 TEST_GROUP(AtMostOncePairs){};
 
 TEST(AtMostOnceClaim, NoFaultBeforeTheClaimRunsAKeyTwice) {
-  Matrix(Step::BeforeClaim).runAlone();
+  Matrix(Step::BeforeClaim).run(faultsOf(Parties));
 }
 
 TEST(AtMostOnceClaim, NoFaultAfterTheClaimRunsAKeyTwice) {
-  Matrix(Step::AfterClaim).runAlone();
+  Matrix(Step::AfterClaim).run(faultsOf(Parties));
 }
 
 TEST(AtMostOnceRun, NoFaultBeforeTheHandOverRunsAKeyTwice) {
-  Matrix(Step::BeforeHandOver).runAlone();
+  Matrix(Step::BeforeHandOver).run(faultsOf(Parties));
 }
 
 TEST(AtMostOnceRun, NoFaultDuringTheRunRunsAKeyTwice) {
-  Matrix(Step::DuringRun).runAlone();
+  Matrix(Step::DuringRun).run(faultsOf(Parties));
 }
 
 TEST(AtMostOnceOutcome, NoFaultWhileTheAnswerIsOnItsWayRunsAKeyTwice) {
-  Matrix(Step::AnswerOnItsWay).runAlone();
+  Matrix(Step::AnswerOnItsWay).run(faultsOf(Parties));
 }
 
 TEST(AtMostOnceOutcome, NoFaultBeforeTheOutcomeIsStoredRunsAKeyTwice) {
-  Matrix(Step::BeforeOutcome).runAlone();
+  Matrix(Step::BeforeOutcome).run(faultsOf(Parties));
 }
 
 TEST(AtMostOncePairs, NoTwoFaultsAfterTheClaimRunAKeyTwice) {
-  Matrix(Step::AfterClaim).runInPairs(5);
+  Matrix(Step::AfterClaim).run(faultPairsOf(Parties, 5));
 }
 
 TEST(AtMostOncePairs, NoTwoFaultsDuringTheRunRunAKeyTwice) {
-  Matrix(Step::DuringRun).runInPairs(7);
+  Matrix(Step::DuringRun).run(faultPairsOf(Parties, 7));
 }
--- a/test/fault/ChangeMatrixTest.cpp
+++ b/test/fault/ChangeMatrixTest.cpp
@@ -42,8 +42,8 @@
 /** What is changed. */
 enum class Change { Apply, MoveDomain };
 
-constexpr FaultParty Parties[] = {FaultParty::PlatformStore,
-                                  FaultParty::Command, FaultParty::Peer};
+constexpr FaultParty Parties[] = {FaultParty::PlatformStore, FaultParty::Client,
+                                  FaultParty::Peer};
 constexpr milliseconds HoldTime{300};
 /** Longer than a command waits for one answer of the platform. */
 constexpr milliseconds FaultTime{2'500};
@@ -76,7 +76,7 @@
   void run(std::span<const Step> steps, const std::vector<FaultList> &rows) {
     for (const Step step : steps)
       for (const FaultList &faults : rows)
-        if (step != Step::NodesTakeIt || !strikes(faults, FaultParty::Command))
+        if (step != Step::NodesTakeIt || !strikes(faults, FaultParty::Client))
           runRow(step, faults);
     verifyHistory();
   }
@@ -100,7 +100,8 @@
     hold(step);
     const std::string log = fleet.write("command-" + order.author, "");
     ChildProcess command(commandWords(order.author), log);
-    FaultSite site{fleet, 0, fleet.vmOf("release", 1), &command};
+    FaultSite site{
+        fleet, {}, fleet.vmOf("release", 1), [&] { command.kill(); }};
     if (step == Step::NodesTakeIt)
       order.code = command.wait();
     else
@@ -166,11 +167,6 @@
     return json::parse(output.out, nullptr, false);
   }
 
-  static bool holds(const json &list, const std::string &author) {
-    return std::ranges::any_of(
-        list, [&](const json &head) { return head.at("author") == author; });
-  }
-
   /** No process of a node ever goes back. */
   std::uint64_t versionAt(std::size_t vm) {
     const json state = fleet.status(vm);
@@ -200,14 +196,21 @@
                    },
                    ConvergenceLimit),
                order.row.c_str());
+    verifyOutcome(order, list);
+    verifyObedience(list, order.row + ": " + order.messages);
+  }
+
+  /** What the command has told is so: accepted once, or not at all. */
+  static void verifyOutcome(const Order &order, const json &list) {
+    const auto times = std::ranges::count_if(list, [&](const json &head) {
+      return head.at("author") == order.author;
+    });
     const std::string text = order.row + ": " + order.messages;
-    // Nothing more may be accepted once the command has told the outcome.
-    if (order.isAccepted())
-      CHECK_TEXT(holds(list, order.author) || isInForceAlready(order),
-                 text.c_str());
-    else if (!order.isUnknown())
-      CHECK_TEXT(!holds(list, order.author), text.c_str());
-    verifyObedience(list, text);
+    CHECK_TEXT(times <= 1, text.c_str());
+    if (order.isAccepted() && !isInForceAlready(order))
+      CHECK_EQUAL_TEXT(1, times, text.c_str());
+    if (!order.isAccepted() && !order.isUnknown())
+      CHECK_EQUAL_TEXT(0, times, text.c_str());
   }
 
   static bool isInForceAlready(const Order &order) {
@@ -244,17 +247,8 @@
     const json list = history();
     for (std::size_t n = 0; n < list.size(); ++n)
       CHECK_EQUAL(n + 1, list[n].at("version").get<std::size_t>());
-    for (const Order &order : orders) {
-      const auto times = std::ranges::count_if(list, [&](const json &head) {
-        return head.at("author") == order.author;
-      });
-      const std::string text = order.row + ": " + order.messages;
-      CHECK_TEXT(times <= 1, text.c_str());
-      if (order.isAccepted() && !isInForceAlready(order))
-        CHECK_EQUAL_TEXT(1, times, text.c_str());
-      if (!order.isAccepted() && !order.isUnknown())
-        CHECK_EQUAL_TEXT(0, times, text.c_str());
-    }
+    for (const Order &order : orders)
+      verifyOutcome(order, list);
     CHECK_EQUAL(change == Change::MoveDomain, rowsMovedOut > 0);
   }
 };
--- a/test/fault/MembershipMatrixTest.cpp
+++ b/test/fault/MembershipMatrixTest.cpp
@@ -43,8 +43,11 @@
   using Step = void (Matrix::*)(const FaultList &);
 
   Matrix()
-      : fleet(makePatientPlan()), site{fleet, fleet.vmOf("status", 1),
-                                       fleet.vmOf("release", 1), nullptr},
+      : fleet(makePatientPlan()),
+        actor(fleet.vmOf("status", 1)), site{fleet,
+                                             {actor},
+                                             fleet.vmOf("release", 1),
+                                             nullptr},
         entrance(fleet.vmOf("status", 0)) {
     CHECK(fleet.start());
   }
@@ -60,17 +63,17 @@
   void joinWhileItReadsTheSeeds(const FaultList &faults) {
     stopActor();
     fleet.setPlatform({{"mode", "late"}, {"delayMs", HoldTime.count()}});
-    fleet.startNode(site.actor);
-    fleet.startTarget(site.actor);
+    fleet.startNode(actor);
+    fleet.startTarget(actor);
     strikeForAWhile(faults);
   }
 
   void joinWhenItKnowsOthers(const FaultList &faults) {
     stopActor();
-    fleet.startNode(site.actor);
-    CHECK_TEXT(Fleet::waitUntil([this] { return presentAt(site.actor) > 1; }),
+    fleet.startNode(actor);
+    CHECK_TEXT(Fleet::waitUntil([this] { return presentAt(actor) > 1; }),
                row.c_str());
-    fleet.startTarget(site.actor);
+    fleet.startTarget(actor);
     strikeForAWhile(faults);
   }
 
@@ -85,8 +88,8 @@
 
   void stopNodeWithCallsInProgress(const FaultList &faults) {
     const auto answers = startLongCalls();
-    const int stopping = fleet.vms[site.actor]->node->id();
-    fleet.vms[site.actor]->node->signal(SIGTERM);
+    const int stopping = fleet.vms[actor]->node->id();
+    fleet.vms[actor]->node->signal(SIGTERM);
     strikeForAWhile(faults);
     verifyLongCalls(*answers, faults);
     replaceNode(stopping);
@@ -95,26 +98,26 @@
   void leaveAndBeGone(const FaultList &faults) {
     const int leaving = targetId();
     signalTarget(SIGTERM);
-    fleet.vms[site.actor]->targetProcess->wait();
+    fleet.vms[actor]->targetProcess->wait();
     strikeForAWhile(faults);
     replaceTarget(leaving);
   }
 
   void announceToAFrozenNode(const FaultList &faults) {
-    fleet.vms[site.actor]->targetProcess->kill();
-    fleet.vms[site.actor]->node->signal(SIGSTOP);
-    fleet.startTarget(site.actor);
+    fleet.vms[actor]->targetProcess->kill();
+    fleet.vms[actor]->node->signal(SIGSTOP);
+    fleet.startTarget(actor);
     strikeAll(faults, site);
     if (!strikes(faults, FaultParty::Actor))
-      fleet.vms[site.actor]->node->signal(SIGCONT);
+      fleet.vms[actor]->node->signal(SIGCONT);
     pause(FaultTime);
     mendAll(faults, site);
   }
 
   void announceAndBeKnown(const FaultList &faults) {
     const std::string before = bootIdAtGate();
-    fleet.vms[site.actor]->targetProcess->kill();
-    fleet.startTarget(site.actor);
+    fleet.vms[actor]->targetProcess->kill();
+    fleet.startTarget(actor);
     CHECK_TEXT(Fleet::waitUntil([&] {
                  const std::string now = bootIdAtGate();
                  return !now.empty() && now != before;
@@ -125,6 +128,7 @@
 
 private:
   Fleet fleet;
+  const std::size_t actor;
   FaultSite site;
   const std::size_t entrance;
   std::string row;
@@ -142,18 +146,18 @@
 
   /** What the actor's target has counted; 0 while it does not answer. */
   std::uint64_t countAt(const char *name) {
-    const json stats = fleet.targetStats(site.actor);
+    const json stats = fleet.targetStats(actor);
     return stats.is_null() ? 0 : stats.at(name).get<std::uint64_t>();
   }
 
   void signalTarget(int number) {
-    fleet.vms[site.actor]->targetProcess->signal(number);
+    fleet.vms[actor]->targetProcess->signal(number);
   }
 
   void stopActor() {
-    fleet.vms[site.actor]->node->signal(SIGTERM);
-    fleet.vms[site.actor]->node->wait();
-    fleet.vms[site.actor]->targetProcess->kill();
+    fleet.vms[actor]->node->signal(SIGTERM);
+    fleet.vms[actor]->node->wait();
+    fleet.vms[actor]->targetProcess->kill();
     CHECK_TEXT(Fleet::waitUntil([this] {
                  return fleet.status(entrance).value("present", 0U) ==
                         fleet.vms.size() - 1;
@@ -162,7 +166,7 @@
   }
 
   std::string bootIdAtGate() {
-    const json state = fleet.status(site.actor);
+    const json state = fleet.status(actor);
     return state.is_null() ? std::string()
                            : state.at("gate").at("bootId").get<std::string>();
   }
@@ -180,11 +184,13 @@
   }
 
   std::shared_ptr<LongCalls> startLongCalls() {
-    for (const std::size_t vm : {site.actor, entrance})
+    for (const std::size_t vm : {actor, entrance})
       fleet.setTarget(vm, {{"serviceMs", LongRunMs}});
     auto calls = std::make_shared<LongCalls>();
     CHECK_TEXT(Fleet::waitUntil([&] {
-                 startLongCall(calls);
+                 if (calls->handles.size() <
+                     calls->answers.size() + MaxLongCalls)
+                   startLongCall(calls);
                  return countAt("running") > 0;
                }),
                row.c_str());
@@ -220,7 +226,7 @@
     CHECK_TEXT(answered > 0, row.c_str());
   }
 
-  int targetId() const { return fleet.vms[site.actor]->targetProcess->id(); }
+  int targetId() const { return fleet.vms[actor]->targetProcess->id(); }
 
   void awaitEnd(const ChildProcess &process) {
     CHECK_TEXT(Fleet::waitUntil([&] { return !process.isRunning(); }),
@@ -231,15 +237,15 @@
   void replaceTarget(int leaving) {
     if (targetId() != leaving)
       return;
-    awaitEnd(*fleet.vms[site.actor]->targetProcess);
-    fleet.startTarget(site.actor);
+    awaitEnd(*fleet.vms[actor]->targetProcess);
+    fleet.startTarget(actor);
   }
 
   void replaceNode(int stopping) {
-    if (fleet.vms[site.actor]->node->id() != stopping)
+    if (fleet.vms[actor]->node->id() != stopping)
       return;
-    awaitEnd(*fleet.vms[site.actor]->node);
-    fleet.startNode(site.actor);
+    awaitEnd(*fleet.vms[actor]->node);
+    fleet.startNode(actor);
   }
 
   /** Everyone knows everyone and the version, each node serves, and the actor's
@@ -256,7 +262,7 @@
                        row.c_str());
     }
     CHECK_TEXT(Fleet::waitUntil([this] {
-                 fleet.http.get(fleet.vms[site.actor]->callers, "/status");
+                 fleet.http.get(fleet.vms[actor]->callers, "/status");
                  return countAt("runs") > 0;
                }),
                row.c_str());
--- a/test/support/FleetFaults.cpp
+++ b/test/support/FleetFaults.cpp
@@ -16,12 +16,33 @@
   site.fleet.vms[site.peer]->node->signal(Number);
 }
 
-template <int Number> void signalActor(FaultSite &site) {
-  site.fleet.vms[site.actor]->node->signal(Number);
+template <int Number> void signalActorNodes(FaultSite &site) {
+  signalActors(site, Number);
 }
 
-template <int Number> void signalActorTarget(FaultSite &site) {
-  site.fleet.vms[site.actor]->targetProcess->signal(Number);
+template <int Number> void signalActorTargets(FaultSite &site) {
+  for (const std::size_t vm : site.actors)
+    site.fleet.vms[vm]->targetProcess->signal(Number);
+}
+
+void killActorNodes(FaultSite &site) {
+  for (const std::size_t vm : site.actors)
+    site.fleet.vms[vm]->node->kill();
+}
+
+void startActorNodes(FaultSite &site) {
+  for (const std::size_t vm : site.actors)
+    site.fleet.startNode(vm);
+}
+
+void killActorTargets(FaultSite &site) {
+  for (const std::size_t vm : site.actors)
+    site.fleet.vms[vm]->targetProcess->kill();
+}
+
+void startActorTargets(FaultSite &site) {
+  for (const std::size_t vm : site.actors)
+    site.fleet.startTarget(vm);
 }
 
 void setMode(FaultSite &site, const char *mode) {
@@ -41,23 +62,20 @@
      [](FaultSite &site) { setMode(site, "late"); }, mendNothing},
     {FaultParty::PlatformStore, "platform loses answers",
      [](FaultSite &site) { setMode(site, "lose"); }, mendNothing},
-    {FaultParty::Command, "command killed",
-     [](FaultSite &site) { site.command->kill(); }, mendNothing},
+    {FaultParty::Client, "client ended",
+     [](FaultSite &site) { site.endClient(); }, mendNothing},
     {FaultParty::Peer, "another node killed",
      [](FaultSite &site) { site.fleet.vms[site.peer]->node->kill(); },
      [](FaultSite &site) { site.fleet.startNode(site.peer); }},
     {FaultParty::Peer, "another node frozen", signalPeer<SIGSTOP>,
      signalPeer<SIGCONT>},
-    {FaultParty::Actor, "node killed",
-     [](FaultSite &site) { site.fleet.vms[site.actor]->node->kill(); },
-     [](FaultSite &site) { site.fleet.startNode(site.actor); }},
-    {FaultParty::Actor, "node frozen", signalActor<SIGSTOP>,
-     signalActor<SIGCONT>},
-    {FaultParty::ActorTarget, "target killed",
-     [](FaultSite &site) { site.fleet.vms[site.actor]->targetProcess->kill(); },
-     [](FaultSite &site) { site.fleet.startTarget(site.actor); }},
-    {FaultParty::ActorTarget, "target frozen", signalActorTarget<SIGSTOP>,
-     signalActorTarget<SIGCONT>}};
+    {FaultParty::Actor, "node killed", killActorNodes, startActorNodes},
+    {FaultParty::Actor, "node frozen", signalActorNodes<SIGSTOP>,
+     signalActorNodes<SIGCONT>},
+    {FaultParty::ActorTarget, "target killed", killActorTargets,
+     startActorTargets},
+    {FaultParty::ActorTarget, "target frozen", signalActorTargets<SIGSTOP>,
+     signalActorTargets<SIGCONT>}};
 
 } // namespace
 
@@ -96,6 +114,11 @@
   return text + step;
 }
 
+void signalActors(FaultSite &site, int number) {
+  for (const std::size_t vm : site.actors)
+    site.fleet.vms[vm]->node->signal(number);
+}
+
 void strikeAll(const FaultList &faults, FaultSite &site) {
   std::ranges::for_each(faults,
                         [&](const FleetFault *fault) { fault->strike(site); });
--- a/test/support/FleetFaults.h
+++ b/test/support/FleetFaults.h
@@ -6,6 +6,7 @@
 #include "support/Fleet.h"
 
 #include <chrono>
+#include <functional>
 #include <span>
 #include <string>
 #include <vector>
@@ -13,17 +14,17 @@
 namespace plantainhatch::test {
 
 /** Whom a fault strikes. */
-enum class FaultParty { PlatformStore, Command, Peer, Actor, ActorTarget };
+enum class FaultParty { PlatformStore, Client, Peer, Actor, ActorTarget };
 
 /** Where faults strike. */
 struct FaultSite {
   Fleet &fleet;
-  /** The VM that joins, leaves or announces. */
-  std::size_t actor = 0;
+  /** The VMs whose nodes or targets are at work. */
+  std::vector<std::size_t> actors;
   /** Another VM. */
   std::size_t peer = 0;
-  /** The operators' command that is at work, if any. */
-  ChildProcess *command = nullptr;
+  /** Ends the command or the caller that is at work, if any. */
+  std::function<void()> endClient;
 };
 
 /** One fault. */
@@ -55,6 +56,9 @@
 /** A row's name in findings. */
 std::string describe(const FaultList &faults, const std::string &step);
 
+/** Sends a signal to the nodes of the actors. */
+void signalActors(FaultSite &site, int number);
+
 void strikeAll(const FaultList &faults, FaultSite &site);
 /** Mends all, and sets the platform right whatever befell it. */
 void mendAll(const FaultList &faults, FaultSite &site);
