--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything a newcomer needs: `make demo` and `make test`.
 PACKAGES := build-essential cmake pkg-config git \
-  libglib2.0-dev libcereal-dev libboost1.81-dev libsoup-3.0-dev libpopt-dev \
+  libglib2.0-dev libcereal-dev libboost1.81-dev libsoup-3.0-dev libhttp-parser-dev libpopt-dev \
   libgoogle-glog-dev libcpputest-dev nlohmann-json3-dev \
   clang-format-14 clang-tidy-19 clang-19 libclang-rt-19-dev
 BUILD := build
--- a/apps/plantainhatchd/main.cpp
+++ b/apps/plantainhatchd/main.cpp
@@ -1,14 +1,17 @@
 /** \file
  * The node's program: reads settings, runs a node until it is told to stop. */
 #include "node/Node.h"
+#include "platform/Adapter.h"
 
 #include <glib-unix.h>
 #include <glog/logging.h>
 #include <popt.h>
 
 #include <csignal>
+#include <functional>
 #include <iostream>
 #include <memory>
+#include <string>
 
 namespace {
 
@@ -27,15 +30,58 @@
 /** What signal handlers need. */
 struct Running {
   GMainLoop *loop = nullptr;
-  Node *node = nullptr;
+  /** Stops what runs, and calls its argument when that is done. */
+  std::function<void(std::function<void()>)> stop;
+  std::string settingsFile;
 };
 
 gboolean onStopSignal(gpointer data) {
   auto *const running = static_cast<Running *>(data);
-  running->node->stop([loop = running->loop] { g_main_loop_quit(loop); });
+  running->stop([loop = running->loop] { g_main_loop_quit(loop); });
   return G_SOURCE_CONTINUE;
 }
 
+/** Addresses and domain of a VM do not change while its process runs, so a new
+ * settings file is checked and takes effect at the next start. */
+gboolean onReloadSignal(gpointer data) {
+  auto *const running = static_cast<Running *>(data);
+  const auto settings = readNodeSettings(running->settingsFile);
+  if (settings)
+    LOG(INFO) << "settings: the file is sound and holds from the next start";
+  else
+    LOG(ERROR) << "settings: the file has faults and the present settings "
+                  "stay in force: "
+               << toString(settings.error());
+  return G_SOURCE_CONTINUE;
+}
+
+int runLoop(Running &running) {
+  running.loop = g_main_loop_new(nullptr, FALSE);
+  g_unix_signal_add(SIGTERM, onStopSignal, &running);
+  g_unix_signal_add(SIGINT, onStopSignal, &running);
+  g_unix_signal_add(SIGHUP, onReloadSignal, &running);
+  g_main_loop_run(running.loop);
+  g_main_loop_unref(running.loop);
+  return ExitDone;
+}
+
+/** Runs \p started, a node or what drives one, until it is told to stop. */
+template <typename T>
+int runUntilStopped(Checked<std::unique_ptr<T>> started,
+                    const std::string &settingsFile) {
+  if (!started) {
+    std::cerr << toString(started.error());
+    return ExitUsage;
+  }
+  const std::unique_ptr<T> subject = std::move(started).value();
+  Running running;
+  running.settingsFile = settingsFile;
+  running.stop = [&subject](std::function<void()> done) {
+    subject->stop(std::move(done));
+  };
+  return runLoop(running);
+}
+
 int run(const Arguments &arguments) {
   auto settings = readNodeSettings(arguments.settings);
   if (!settings) {
@@ -47,22 +93,16 @@
   const auto policy = makePickPolicy(policyName);
   if (!policy) {
     std::cerr << "--policy: '" << policyName
-              << "' is not hot-cold, random, round-robin or least-in-flight\n";
+              << "' is not hot-cold, expected-end, random, round-robin or "
+                 "least-in-flight\n";
     return ExitUsage;
   }
-  auto node = Node::start(std::move(settings).value(), *policy);
-  if (!node) {
-    std::cerr << toString(node.error());
-    return ExitUsage;
-  }
-  GMainLoop *const loop = g_main_loop_new(nullptr, FALSE);
-  Running running{loop, node.value().get()};
-  g_unix_signal_add(SIGTERM, onStopSignal, &running);
-  g_unix_signal_add(SIGINT, onStopSignal, &running);
-  g_main_loop_run(loop);
-  node.value().reset();
-  g_main_loop_unref(loop);
-  return ExitDone;
+  if (settings.value().site)
+    return runUntilStopped(
+        platform::Adapter::start(std::move(settings).value()),
+        arguments.settings);
+  return runUntilStopped(Node::start(std::move(settings).value(), *policy),
+                         arguments.settings);
 }
 
 } // namespace
@@ -76,8 +116,8 @@
       {"settings", 's', POPT_ARG_STRING, &arguments.settings, 0,
        "the node's settings", "FILE"},
       {"policy", 0, POPT_ARG_STRING, &arguments.policy, 0,
-       "how targets are picked: hot-cold (default), random, round-robin, "
-       "least-in-flight",
+       "how targets are picked: hot-cold (default), expected-end, random, "
+       "round-robin, least-in-flight; at a site always expected-end",
        "NAME"},
       {"version", 0, POPT_ARG_NONE, &arguments.version, 0, "print the version",
        nullptr},
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -17,6 +17,13 @@
 constexpr std::size_t MinKeySize = 16;
 
 std::string readKey(SettingsReader &reader, const std::string &settingsFile) {
+  if (reader.has("key")) {
+    std::string key = reader.requireText("key");
+    if (key.size() < MinKeySize)
+      reader.report("key", "the key is shorter than " +
+                               std::to_string(MinKeySize) + " bytes");
+    return key;
+  }
   const std::string name = reader.requireText("keyFile");
   if (name.empty())
     return {};
@@ -45,6 +52,32 @@
                   "has the same address as targets; give it a port of its own");
 }
 
+std::chrono::milliseconds readMilliseconds(SettingsReader &reader,
+                                           const std::string &field) {
+  constexpr double MostMilliseconds = 3'600'000;
+  return std::chrono::milliseconds(static_cast<std::int64_t>(
+      reader.requireNumber(field, 1, MostMilliseconds)));
+}
+
+SiteSettings readSite(SettingsReader &reader) {
+  constexpr double MostRate = 1e6;
+  constexpr double MostWindowSeconds = 3'600;
+  SiteSettings site;
+  site.forwards = reader.requireAddress("forwards");
+  site.readiness = reader.requireAddress("readiness");
+  site.metrics = reader.requireAddress("metrics");
+  site.target = reader.requireAddress("target");
+  site.service = reader.requireName("service");
+  site.stopGrace = readMilliseconds(reader, "stopGraceMs");
+  site.coldSlack = reader.requireNumber("coldSlack", 0, MostRate);
+  site.retryRatio = reader.requireNumber("retryRatio", 0, 1);
+  site.retryExtra = reader.requireNumber("retryExtra", 0, MostRate);
+  site.retryWindow = std::chrono::seconds(static_cast<std::int64_t>(
+      reader.requireNumber("retryWindowSeconds", 1, MostWindowSeconds)));
+  site.probesPerSecond = reader.requireNumber("probesPerSecond", 0, MostRate);
+  return site;
+}
+
 } // namespace
 
 Checked<std::string> readFile(const std::string &fileName) {
@@ -74,6 +107,11 @@
   settings.platform = reader.requireUrl("platform");
   settings.seeds = reader.optionalAddresses("seeds");
   settings.key = readKey(reader, fileName);
+  if (reader.has("site")) {
+    SettingsReader section = reader.section("site");
+    settings.site = readSite(section);
+    reader.absorb(section);
+  }
   requireDistinctPorts(reader, settings);
   reader.reportUnknownFields();
   if (!reader.findings().empty())
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -6,11 +6,39 @@
 #include "base/Address.h"
 #include "base/Finding.h"
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace plantainhatch {
 
+/** How a node fits into a site whose platform has its own interface for callers,
+ * targets and operators. Immutable once read. */
+struct SiteSettings {
+  /** Calls that other nodes forward. */
+  Address forwards;
+  /** Whether new callers are welcome. */
+  Address readiness;
+  /** Metrics as text. */
+  Address metrics;
+  /** The target beside this node. */
+  Address target;
+  /** The service of that target. */
+  std::string service;
+  /** From the order to stop until the platform ends the process. */
+  std::chrono::milliseconds stopGrace{0};
+  /** What a cold target may get in a second above its announced rate. */
+  double coldSlack = 0;
+  /** Repeats that all nodes together may send in RetryWindow, as a share of a
+   * service's calls, and besides that. */
+  double retryRatio = 0;
+  double retryExtra = 0;
+  std::chrono::seconds retryWindow{0};
+  /** Health checks of one target a second, by all nodes together. */
+  double probesPerSecond = 0;
+};
+
 /** What one node is told at its start. Immutable once read. */
 struct NodeSettings {
   std::string cluster;
@@ -25,8 +53,15 @@
   std::string platform;
   /** Peers addresses to try besides the seed rows in the table. */
   std::vector<Address> seeds;
-  /** Content of the key file. */
+  /** Content of the key file, or the key itself. */
   std::string key;
+  /** Set where a platform with an interface of its own drives the node. */
+  std::optional<SiteSettings> site;
+
+  /** Where other nodes reach this one with calls. */
+  const Address &forwardAddress() const {
+    return site ? site->forwards : callers;
+  }
 };
 
 /** What the operators' program is told. Immutable once read. */
--- a/src/base/SettingsReader.cpp
+++ b/src/base/SettingsReader.cpp
@@ -1,6 +1,7 @@
 #include "base/SettingsReader.h"
 
 #include <algorithm>
+#include <sstream>
 #include <string_view>
 
 namespace plantainhatch::internal {
@@ -111,8 +112,43 @@
   return addresses;
 }
 
+double SettingsReader::requireNumber(const std::string &field, double least,
+                                     double most) {
+  const auto *const value = find(field);
+  if (value == nullptr) {
+    if (parsed)
+      report(field, "is missing; add it as a number");
+    return least;
+  }
+  const double number = value->is_number() ? value->get<double>() : least - 1;
+  if (number >= least && number <= most)
+    return number;
+  std::ostringstream range;
+  range << "must be a number from " << least << " to " << most;
+  report(field, range.str());
+  return least;
+}
+
+SettingsReader SettingsReader::section(const std::string &field) {
+  SettingsReader reader;
+  reader.fileName = fileName;
+  reader.prefix = prefix + field + ".";
+  const auto *const value = find(field);
+  reader.parsed = value != nullptr && value->is_object();
+  if (reader.parsed)
+    reader.object = *value;
+  else
+    report(field, "must be a JSON object");
+  return reader;
+}
+
+void SettingsReader::absorb(SettingsReader &section) {
+  section.reportUnknownFields();
+  found.insert(found.end(), section.found.begin(), section.found.end());
+}
+
 void SettingsReader::report(const std::string &field, std::string message) {
-  found.push_back({fileName, 0, 0, field, std::move(message)});
+  found.push_back({fileName, 0, 0, prefix + field, std::move(message)});
 }
 
 void SettingsReader::reportUnknownFields() {
--- a/src/base/SettingsReader.h
+++ b/src/base/SettingsReader.h
@@ -19,6 +19,7 @@
  * left over at the end is reported as unknown. Not thread-safe. */
 class SettingsReader {
 public:
+  SettingsReader() = default;
   /** Parses \p content. Invalid JSON becomes the only finding. */
   SettingsReader(std::string fileName, const std::string &content);
 
@@ -33,6 +34,18 @@
   /** An array of "IP:PORT" strings; empty if the field is absent. */
   std::vector<Address> optionalAddresses(const std::string &field);
 
+  /** A number in a range, ends included, or a finding and \p least. */
+  double requireNumber(const std::string &field, double least, double most);
+
+  /** True if the field is there. */
+  bool has(const std::string &field) { return find(field) != nullptr; }
+
+  /** A reader of the object in a field, whose findings name their fields with
+   * the prefix "FIELD."; absorb() takes them over. */
+  SettingsReader section(const std::string &field);
+  /** Takes over the findings of a section. */
+  void absorb(SettingsReader &section);
+
   /** Adds a finding for a field. */
   void report(const std::string &field, std::string message);
   /** Adds a finding for each field that no call asked for. */
@@ -44,6 +57,7 @@
   std::string fileName;
   nlohmann::json object;
   bool parsed = false;
+  std::string prefix;
   std::set<std::string> known;
   Findings found;
 
--- a/src/connection/Exchange.cpp
+++ b/src/connection/Exchange.cpp
@@ -1,119 +1,232 @@
 #include "connection/Exchange.h"
 
-#include <algorithm>
+#include <sys/epoll.h>
+
+#include <cstring>
+#include <utility>
 
 namespace plantainhatch {
 
 namespace {
 
-constexpr gsize ChunkBytes = 64UL * 1024;
+using ExchangePtr = boost::intrusive_ptr<Exchange>;
 
-struct GUriUnref {
-  void operator()(GUri *uri) const { g_uri_unref(uri); }
-};
-using GUriPtr = std::unique_ptr<GUri, GUriUnref>;
+constexpr std::size_t ReadBytes = 16UL * 1024;
 
-/** Builds the URI from its parts, so that path and query go out exactly as they
- * came in. */
-GUriPtr buildUri(const Address &address, const std::string &target) {
-  const auto question = target.find('?');
-  const std::string path = target.substr(0, question);
-  const std::string query =
-      question == std::string::npos ? "" : target.substr(question + 1);
-  const char *const queryOrNull =
-      question == std::string::npos ? nullptr : query.c_str();
-  return GUriPtr(g_uri_build(static_cast<GUriFlags>(SOUP_HTTP_URI_FLAGS),
-                             "http", nullptr, address.host.c_str(),
-                             address.port, path.c_str(), queryOrNull, nullptr));
+std::string serialize(const CallRequest &request,
+                      const ExchangeOptions &options) {
+  std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+  if (!findHeader(request.headers, "Host"))
+    text += "Host: " + options.address.toString() + "\r\n";
+  for (const HeaderList *const list :
+       {&request.headers, &options.extraHeaders})
+    for (const auto &[name, value] : *list)
+      text += name + ": " + value + "\r\n";
+  if (!request.body.empty() || !isSafeMethod(request.method))
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  return text + "\r\n" + request.body;
 }
 
 } // namespace
 
-boost::intrusive_ptr<Exchange> Exchange::start(SoupSession *session,
-                                               const CallRequest &request,
-                                               const ExchangeOptions &options,
-                                               HeadReceiver receiver) {
-  const boost::intrusive_ptr<Exchange> exchange(
-      new Exchange(session, std::move(receiver)));
-  if (exchange->prepare(request, options))
-    exchange->send();
-  else
-    exchange->headReceiver(
-        ExchangeError{true, "the request cannot be expressed"});
+ExchangePtr Exchange::start(HttpSession *session, const CallRequest &request,
+                            const ExchangeOptions &options,
+                            HeadReceiver receiver) {
+  const ExchangePtr exchange(
+      new Exchange(session, request, options, std::move(receiver)));
+  exchange->begin(options);
   return exchange;
 }
 
-Exchange::Exchange(SoupSession *session, HeadReceiver receiver)
-    : session(refGObject(session)), cancellable(g_cancellable_new()),
-      headReceiver(std::move(receiver)) {}
-
-Exchange::~Exchange() {
-  if (message)
-    g_signal_handlers_disconnect_by_data(message.get(), this);
-}
-
-bool Exchange::prepare(const CallRequest &request,
-                       const ExchangeOptions &options) {
-  const GUriPtr uri = buildUri(options.address, request.target);
-  message.reset(soup_message_new_from_uri(request.method.c_str(), uri.get()));
-  if (!message)
-    return false;
-  const unsigned fresh =
-      options.needsFreshConnection
-          ? static_cast<unsigned>(SOUP_MESSAGE_NEW_CONNECTION)
-          : 0U;
-  soup_message_set_flags(message.get(), static_cast<SoupMessageFlags>(
-                                            SOUP_MESSAGE_NO_REDIRECT | fresh));
-  SoupMessageHeaders *const headers =
-      soup_message_get_request_headers(message.get());
-  const auto append = [headers](const auto &header) {
-    soup_message_headers_append(headers, header.first.c_str(),
-                                header.second.c_str());
-  };
-  std::ranges::for_each(request.headers, append);
-  std::ranges::for_each(options.extraHeaders, append);
-  if (!request.body.empty() || !isSafeMethod(request.method)) {
-    const GBytesPtr bytes(
-        g_bytes_new(request.body.data(), request.body.size()));
-    soup_message_set_request_body_from_bytes(message.get(), nullptr,
-                                             bytes.get());
-  }
-  g_signal_connect(message.get(), "starting", G_CALLBACK(onStarting), this);
-  g_signal_connect(message.get(), "finished", G_CALLBACK(onFinished), this);
-  preventHiddenResend(message.get(), cancellable.get());
-  ConnectionRegistry::of(session.get()).follow(message.get());
-  return true;
+Exchange::Exchange(HttpSession *session, const CallRequest &request,
+                   const ExchangeOptions &options, HeadReceiver receiver)
+    : session(session), address(options.address),
+      headReceiver(std::move(receiver)), message(serialize(request, options)) {
+  if (request.method == "HEAD")
+    reader.expectNoBody();
 }
 
-void Exchange::send() {
+void Exchange::begin(const ExchangeOptions &options) {
+  // Released by end().
   intrusive_ptr_add_ref(this);
-  soup_session_send_async(session.get(), message.get(), G_PRIORITY_DEFAULT,
-                          cancellable.get(), onSent, this);
+  isHeld = true;
+  if (!options.needsFreshConnection) {
+    if (auto kept = session->take(address)) {
+      socket = std::move(*kept);
+      sendMessage();
+      return;
+    }
+  }
+  auto made = StreamSocket::connect(address);
+  if (!made) {
+    failSoon(std::strerror(errno));
+    return;
+  }
+  socket = std::move(*made);
+  socket.watch(*this, EPOLLOUT);
+  timer.startOnce(options.connectLimit,
+                  [this] { fail("no connection in time"); });
+}
+
+void Exchange::failSoon(std::string why) {
+  failure = std::move(why);
+  timer.startOnce(Duration(0), [this] { fail(failure); });
+}
+
+void Exchange::sendMessage() {
+  state = State::Sent;
+  timer.stop();
+  const bool isSound = socket.write(message);
+  message.clear();
+  if (isSound)
+    socket.watch(*this, EPOLLRDHUP);
+  else
+    failSoon("the connection broke while the request was sent");
+}
+
+void Exchange::onReady(std::uint32_t events) {
+  const ExchangePtr self(this);
+  if (state == State::Connecting) {
+    onConnectable();
+    return;
+  }
+  if ((events & EPOLLOUT) != 0 && !socket.flush()) {
+    fail("the connection broke while the request was sent");
+    return;
+  }
+  if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+    readMore();
+}
+
+void Exchange::onConnectable() {
+  const int error = socket.connectError();
+  if (error != 0) {
+    fail(std::strerror(error));
+    return;
+  }
+  socket.unwatch();
+  sendMessage();
+}
+
+void Exchange::readMore() {
+  std::string bytes;
+  auto result = StreamSocket::ReadResult::Nothing;
+  do {
+    bytes.clear();
+    result = socket.read(bytes, ReadBytes);
+    if (result == StreamSocket::ReadResult::Bytes) {
+      const std::size_t n = reader.feed(bytes);
+      hasExtraBytes = hasExtraBytes || n < bytes.size();
+    }
+  } while (result == StreamSocket::ReadResult::Bytes &&
+           reader.body.size() < MaxReadAhead &&
+           reader.state() != HttpMessageReader::State::Complete &&
+           reader.state() != HttpMessageReader::State::Malformed);
+  if (result == StreamSocket::ReadResult::End)
+    reader.feedEnd();
+  const bool isBroken =
+      result == StreamSocket::ReadResult::Broken ||
+      reader.state() == HttpMessageReader::State::Malformed ||
+      reader.state() == HttpMessageReader::State::HeadTooLarge;
+  if (isBroken && !reader.isFresh())
+    failure = "the answer broke off";
+  else if (isBroken)
+    failure = "the connection was closed without an answer";
+  onProgress();
+}
+
+void Exchange::onProgress() {
+  const ExchangePtr self(this);
+  if (overAction) {
+    discard();
+    return;
+  }
+  if (state == State::Sent && reader.hasHead())
+    deliverHead();
+  else if (state == State::Sent && !failure.empty())
+    fail(failure);
+  if (state == State::Answered && chunkReceiver)
+    deliverChunk();
+  if (state == State::Answered && failure.empty() &&
+      reader.state() != HttpMessageReader::State::Complete)
+    socket.setReading(reader.body.size() < MaxReadAhead);
+  else if (state == State::Answered)
+    // The rest waits for the reader of the body.
+    socket.unwatch();
+}
+
+void Exchange::deliverHead() {
+  state = State::Answered;
+  if (const auto receiver = std::exchange(headReceiver, nullptr))
+    receiver(makeHead());
+}
+
+AnswerHead Exchange::makeHead() {
+  AnswerHead head;
+  head.status = reader.status();
+  head.contentLength = reader.contentLength;
+  head.headers = std::move(reader.headers);
+  return head;
 }
 
 void Exchange::read(ChunkReceiver receiver) {
+  if (state != State::Answered)
+    return;
   chunkReceiver = std::move(receiver);
-  readNext();
+  deliverChunk();
+  if (state == State::Answered && socket.isOpen() && failure.empty() &&
+      reader.state() == HttpMessageReader::State::Body)
+    socket.setReading(true);
 }
 
-void Exchange::readNext() {
-  isReading = true;
-  intrusive_ptr_add_ref(this);
-  g_input_stream_read_bytes_async(body.get(), ChunkBytes, G_PRIORITY_DEFAULT,
-                                  cancellable.get(), onRead, this);
+void Exchange::deliverChunk() {
+  const ExchangePtr self(this);
+  const bool isComplete =
+      reader.state() == HttpMessageReader::State::Complete;
+  if (reader.body.empty() && !isComplete && failure.empty())
+    return;
+  const auto receiver = std::exchange(chunkReceiver, nullptr);
+  if (!reader.body.empty()) {
+    const std::string bytes = std::exchange(reader.body, {});
+    receiver(GBytesPtr(g_bytes_new(bytes.data(), bytes.size())));
+    return;
+  }
+  if (isComplete)
+    release();
+  end();
+  if (isComplete)
+    receiver(BodyEnd{});
+  else
+    receiver(BodyBroken{});
+}
+
+void Exchange::release() {
+  const bool isReusable = reader.keepsAlive() && !hasExtraBytes &&
+                          !socket.hasQueued() && socket.isOpen();
+  if (!isReusable)
+    return;
+  socket.unwatch();
+  session->keep(address, std::move(socket));
 }
 
 void Exchange::cancel() {
-  isCancelled = true;
   headReceiver = nullptr;
   chunkReceiver = nullptr;
-  g_cancellable_cancel(cancellable.get());
+  if (state == State::Ended)
+    return;
+  const ExchangePtr self(this);
+  if (state == State::Answered &&
+      reader.state() == HttpMessageReader::State::Complete)
+    release();
+  end();
 }
 
 void Exchange::giveUp(Action over) {
+  const ExchangePtr self(this);
   const bool isAtPeer =
-      wasSent && !isFinished && !isCancelled &&
-      ConnectionRegistry::of(session.get()).closeSending(message.get());
+      (state == State::Sent || state == State::Answered) && failure.empty() &&
+      reader.state() != HttpMessageReader::State::Complete &&
+      socket.closeSending();
   if (!isAtPeer) {
     cancel();
     over();
@@ -122,124 +235,49 @@
   headReceiver = nullptr;
   chunkReceiver = nullptr;
   overAction = std::move(over);
-  if (body && !isReading)
-    discardNext();
-}
-
-void Exchange::discardNext() {
-  // Nothing can be sent on this connection any more.
-  soup_message_headers_replace(soup_message_get_response_headers(message.get()),
-                               "Connection", "close");
-  readNext();
+  socket.watch(*this, EPOLLRDHUP);
 }
 
-void Exchange::onDiscarded(bool isBroken, GBytes *bytes) {
-  const std::size_t n = bytes == nullptr ? 0 : g_bytes_get_size(bytes);
-  discarded += n;
-  if (isBroken || n == 0 || discarded > MaxDiscarded)
+void Exchange::discard() {
+  discarded += reader.body.size();
+  reader.body.clear();
+  const bool isOver = !failure.empty() || discarded > MaxDiscarded ||
+                      reader.state() == HttpMessageReader::State::Complete;
+  if (isOver)
     finishGiveUp();
-  else
-    discardNext();
 }
 
 void Exchange::finishGiveUp() {
   const Action over = std::exchange(overAction, nullptr);
-  cancel();
+  end();
   over();
 }
 
-void Exchange::finishHead(GAsyncResult *result) {
-  GError *rawError = nullptr;
-  body.reset(soup_session_send_finish(session.get(), result, &rawError));
-  const GErrorPtr error(rawError);
+void Exchange::fail(const std::string &why) {
+  const ExchangePtr self(this);
   if (overAction) {
-    if (error)
-      finishGiveUp();
-    else
-      discardNext();
+    finishGiveUp();
     return;
   }
+  const ExchangeError error{!socket.hasSentAny(), why};
   const auto receiver = std::exchange(headReceiver, nullptr);
-  if (isCancelled || !receiver)
-    return;
-  if (error) {
-    receiver(ExchangeError{!wasSent, error->message});
-    return;
-  }
-  receiver(readHead());
+  const auto chunks = std::exchange(chunkReceiver, nullptr);
+  end();
+  if (receiver)
+    receiver(error);
+  else if (chunks)
+    chunks(BodyBroken{});
 }
 
-AnswerHead Exchange::readHead() const {
-  AnswerHead head;
-  head.status = soup_message_get_status(message.get());
-  SoupMessageHeaders *const headers =
-      soup_message_get_response_headers(message.get());
-  if (soup_message_headers_get_encoding(headers) ==
-      SOUP_ENCODING_CONTENT_LENGTH)
-    head.contentLength = static_cast<std::uint64_t>(
-        soup_message_headers_get_content_length(headers));
-  SoupMessageHeadersIter it;
-  soup_message_headers_iter_init(&it, headers);
-  const char *name = nullptr;
-  const char *value = nullptr;
-  while (soup_message_headers_iter_next(&it, &name, &value) != FALSE)
-    head.headers.emplace_back(name, value);
-  return head;
-}
-
-bool Exchange::isBodyWhole() const {
-  SoupMessageHeaders *const headers =
-      soup_message_get_response_headers(message.get());
-  if (soup_message_headers_get_encoding(headers) != SOUP_ENCODING_CHUNKED)
-    return true;
-  // After the last chunk the connection is kept, unless the answer said that it
-  // would be closed.
-  return soup_message_headers_header_contains(headers, "Connection", "close") !=
-             FALSE ||
-         ConnectionRegistry::of(session.get()).isOpen(message.get());
-}
-
-void Exchange::finishRead(GAsyncResult *result) {
-  GError *rawError = nullptr;
-  GBytesPtr bytes(
-      g_input_stream_read_bytes_finish(body.get(), result, &rawError));
-  const GErrorPtr error(rawError);
-  isReading = false;
-  if (overAction) {
-    onDiscarded(error != nullptr, bytes.get());
+void Exchange::end() {
+  if (state == State::Ended)
     return;
-  }
-  const auto receiver = std::exchange(chunkReceiver, nullptr);
-  if (isCancelled || !receiver)
-    return;
-  if (error || !bytes)
-    receiver(BodyBroken{});
-  else if (g_bytes_get_size(bytes.get()) == 0)
-    receiver(isBodyWhole() ? Chunk(BodyEnd{}) : Chunk(BodyBroken{}));
-  else
-    receiver(std::move(bytes));
-}
-
-void Exchange::onStarting(SoupMessage * /*message*/, gpointer data) {
-  static_cast<Exchange *>(data)->wasSent = true;
-}
-
-void Exchange::onFinished(SoupMessage * /*message*/, gpointer data) {
-  static_cast<Exchange *>(data)->isFinished = true;
-}
-
-void Exchange::onSent(GObject * /*session*/, GAsyncResult *result,
-                      gpointer data) {
-  const boost::intrusive_ptr<Exchange> self(static_cast<Exchange *>(data),
-                                            false);
-  self->finishHead(result);
-}
-
-void Exchange::onRead(GObject * /*stream*/, GAsyncResult *result,
-                      gpointer data) {
-  const boost::intrusive_ptr<Exchange> self(static_cast<Exchange *>(data),
-                                            false);
-  self->finishRead(result);
+  state = State::Ended;
+  timer.stop();
+  socket.close();
+  const ExchangePtr self(this);
+  if (std::exchange(isHeld, false))
+    intrusive_ptr_release(this);
 }
 
 } // namespace plantainhatch
--- a/src/connection/Exchange.h
+++ b/src/connection/Exchange.h
@@ -5,8 +5,9 @@
 
 #include "base/Address.h"
 #include "connection/AnswerSource.h"
-#include "connection/ConnectionRegistry.h"
+#include "connection/HttpMessageReader.h"
 #include "connection/HttpSession.h"
+#include "connection/Timer.h"
 #include "request/CallRequest.h"
 
 #include <functional>
@@ -30,26 +31,31 @@
   HeaderList extraHeaders;
   /** Use a connection that no other request has used before. */
   bool needsFreshConnection = false;
+  /** The longest that connecting may take. */
+  Duration connectLimit = DefaultConnectLimit;
+
+  /** Several round trips between regions. */
+  static constexpr std::chrono::milliseconds DefaultConnectLimit{800};
 };
 
-/** Sends a request once; the library is kept from sending it again, so that
- * each hand-over is decided and counted in one place. Used on the main loop
- * only. */
-class Exchange : public AnswerSource {
+/** Sends a request once, and never again by itself, so that each hand-over is
+ * decided and counted in one place. Used on the main loop only. */
+class Exchange : public AnswerSource, private ReadyHandler {
 public:
   using Result = std::variant<AnswerHead, ExchangeError>;
   /** Called once. */
   using HeadReceiver = std::function<void(Result)>;
 
   /** Starts an exchange. It lives until its end or its cancellation, whoever
-   * holds it. \return the exchange, from which the body is read after the head
-   * has come. */
-  static boost::intrusive_ptr<Exchange> start(SoupSession *session,
+   * holds it. \param session outlives it. \param receiver is called after this
+   * has returned. \return the exchange, from which the body is read after the
+   * head has come. */
+  static boost::intrusive_ptr<Exchange> start(HttpSession *session,
                                               const CallRequest &request,
                                               const ExchangeOptions &options,
                                               HeadReceiver receiver);
 
-  ~Exchange() override;
+  ~Exchange() override = default;
   Exchange(const Exchange &) = delete;
   Exchange &operator=(const Exchange &) = delete;
   Exchange(Exchange &&) = delete;
@@ -62,6 +68,8 @@
 
   /** What is read of an answer that is no longer wanted. */
   static constexpr std::size_t MaxDiscarded = 256UL * 1024;
+  /** What is read ahead of the reader of the body. */
+  static constexpr std::size_t MaxReadAhead = 64UL * 1024;
 
   /** Lets the other process see that the answer is no longer wanted, and tells
    * when it has let go of the request. Only the sending side of the connection
@@ -74,37 +82,43 @@
   void giveUp(Action over);
 
 private:
-  GObjectPtr<SoupSession> session;
-  GObjectPtr<SoupMessage> message;
-  GObjectPtr<GCancellable> cancellable;
-  GObjectPtr<GInputStream> body;
+  enum class State : std::uint8_t { Connecting, Sent, Answered, Ended };
+
+  HttpSession *session;
+  Address address;
+  StreamSocket socket;
+  HttpMessageReader reader{HTTP_RESPONSE};
+  State state = State::Connecting;
   HeadReceiver headReceiver;
   ChunkReceiver chunkReceiver;
   /** Set once the answer is no longer wanted. */
   Action overAction;
+  std::string message;
+  std::string failure;
+  Timer timer;
   std::size_t discarded = 0;
-  bool wasSent = false;
-  bool isReading = false;
-  bool isFinished = false;
-  bool isCancelled = false;
-
-  Exchange(SoupSession *session, HeadReceiver receiver);
-
-  bool prepare(const CallRequest &request, const ExchangeOptions &options);
-  void send();
-  bool isBodyWhole() const;
-  void finishHead(GAsyncResult *result);
-  void finishRead(GAsyncResult *result);
-  void readNext();
-  void discardNext();
-  void onDiscarded(bool isBroken, GBytes *bytes);
+  bool hasExtraBytes = false;
+  bool isHeld = false;
+
+  Exchange(HttpSession *session, const CallRequest &request,
+           const ExchangeOptions &options, HeadReceiver receiver);
+
+  void begin(const ExchangeOptions &options);
+  void failSoon(std::string why);
+  void sendMessage();
+  void onReady(std::uint32_t events) override;
+  void onConnectable();
+  void readMore();
+  void onProgress();
+  void deliverHead();
+  void deliverChunk();
+  void discard();
+  void fail(const std::string &why);
   void finishGiveUp();
-  AnswerHead readHead() const;
-
-  static void onStarting(SoupMessage *message, gpointer data);
-  static void onFinished(SoupMessage *message, gpointer data);
-  static void onSent(GObject *session, GAsyncResult *result, gpointer data);
-  static void onRead(GObject *stream, GAsyncResult *result, gpointer data);
+  /** Keeps the connection if it is fit for another request. */
+  void release();
+  void end();
+  AnswerHead makeHead();
 };
 
 } // namespace plantainhatch
--- a/src/connection/HangupWatcher.h
+++ b/src/connection/HangupWatcher.h
@@ -10,7 +10,7 @@
 
 namespace plantainhatch {
 
-/** Watches many sockets through one source of the main loop. Used on the main
+/** Watches sockets for the end of what the other side sends. Used on the main
  * loop's thread only. */
 class HangupWatcher {
 public:
@@ -26,15 +26,15 @@
   struct Watch {
     const void *owner = nullptr;
     std::function<void()> action;
+    guint source = 0;
   };
 
-  int epoll;
   std::map<int, Watch> watches;
 
-  HangupWatcher();
+  HangupWatcher() = default;
 
-  void dispatch();
-  static gboolean onReadable(gint fd, GIOCondition condition, gpointer data);
+  void onHangup(int fd);
+  static gboolean onReady(gint fd, GIOCondition condition, gpointer data);
 };
 
 } // namespace plantainhatch
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -6,8 +6,8 @@
 #include "base/Address.h"
 #include "base/Finding.h"
 #include "connection/IncomingCall.h"
+#include "connection/ServerConnection.h"
 
-#include <functional>
 #include <memory>
 #include <string>
 
@@ -16,14 +16,9 @@
 /** Listens and hands over requests whose body has been read. Requests over the
  * limits are answered here, with the outcome not-run. Used on the main loop
  * only. */
-class HttpServer {
+class HttpServer : private ReadyHandler {
 public:
-  using Handler = std::function<void(const IncomingCallPtr &)>;
-
-  static constexpr std::size_t MaxHeaderBytes = 16UL * 1024;
-  /** Bodies of requests are held in memory, as they may have to be sent again.
-   */
-  static constexpr std::size_t MaxBodyBytes = 1024UL * 1024;
+  using Handler = ServerConnection::Handler;
 
   /** Listens. \return the server, or a finding for \p field if the address
    * cannot be used. */
@@ -37,17 +32,17 @@
   HttpServer &operator=(HttpServer &&) = delete;
 
 private:
-  explicit HttpServer(Handler handler);
+  using ConnectionList =
+      boost::intrusive::list<ServerConnection,
+                             boost::intrusive::constant_time_size<false>>;
+
+  HttpServer(int fd, Handler handler);
 
-  GObjectPtr<SoupServer> server;
+  int fd;
   Handler handler;
+  ConnectionList connections;
 
-  static void onRequestStarted(SoupServer *server, SoupServerMessage *message,
-                               gpointer data);
-  static void onEarly(SoupServer *server, SoupServerMessage *message,
-                      const char *path, GHashTable *query, gpointer data);
-  static void onRequest(SoupServer *server, SoupServerMessage *message,
-                        const char *path, GHashTable *query, gpointer data);
+  void onReady(std::uint32_t events) override;
 };
 
 } // namespace plantainhatch
--- a/src/connection/HttpSession.cpp
+++ b/src/connection/HttpSession.cpp
@@ -1,30 +1,47 @@
 #include "connection/HttpSession.h"
 
-namespace plantainhatch {
+#include <sys/epoll.h>
 
-namespace {
+namespace plantainhatch {
 
-constexpr int MaxConnections = 4096;
-constexpr int MaxConnectionsPerHost = 512;
-constexpr int IdleSeconds = 30;
+void HttpSession::IdleConnection::onReady(std::uint32_t /*events*/) {
+  session->idle[address].erase(position);
+}
 
-} // namespace
+std::optional<StreamSocket> HttpSession::take(const Address &address) {
+  const auto it = idle.find(address);
+  if (it == idle.end())
+    return std::nullopt;
+  IdleList &list = it->second;
+  dropOld(list, std::chrono::steady_clock::now());
+  while (!list.empty()) {
+    StreamSocket socket = std::move(list.back().socket);
+    list.pop_back();
+    socket.unwatch();
+    if (!socket.isStale())
+      return socket;
+  }
+  return std::nullopt;
+}
 
-GObjectPtr<SoupSession> makeHttpSession() {
-  GObjectPtr<SoupSession> session(soup_session_new_with_options(
-      "max-conns", MaxConnections, "max-conns-per-host", MaxConnectionsPerHost,
-      "timeout", 0U, "idle-timeout", IdleSeconds, "proxy-resolver", nullptr,
-      nullptr));
-  soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_CONTENT_DECODER);
-  soup_session_remove_feature_by_type(session.get(), SOUP_TYPE_AUTH_MANAGER);
-  return session;
+void HttpSession::keep(const Address &address, StreamSocket socket) {
+  IdleList &list = idle[address];
+  const TimePoint now = std::chrono::steady_clock::now();
+  dropOld(list, now);
+  if (list.size() >= MaxIdlePerAddress)
+    list.pop_front();
+  IdleConnection &entry = list.emplace_back();
+  entry.session = this;
+  entry.address = address;
+  entry.socket = std::move(socket);
+  entry.since = now;
+  entry.position = std::prev(list.end());
+  entry.socket.watch(entry, EPOLLRDHUP);
 }
 
-void preventHiddenResend(SoupMessage *message, GCancellable *cancellable) {
-  const auto cancel = +[](SoupMessage * /*message*/, gpointer data) {
-    g_cancellable_cancel(static_cast<GCancellable *>(data));
-  };
-  g_signal_connect(message, "restarted", G_CALLBACK(cancel), cancellable);
+void HttpSession::dropOld(IdleList &list, TimePoint now) {
+  while (!list.empty() && now - list.front().since > MaxIdle)
+    list.pop_front();
 }
 
 } // namespace plantainhatch
--- a/src/connection/HttpSession.h
+++ b/src/connection/HttpSession.h
@@ -1,24 +1,56 @@
 /** \file
- * The HTTP client of a process. */
+ * Connections to other processes that wait for their next use. */
 #ifndef PLANTAINHATCH_CONNECTION_HTTPSESSION_H
 #define PLANTAINHATCH_CONNECTION_HTTPSESSION_H
 
-#include "connection/GObjectPtr.h"
+#include "base/Time.h"
+#include "connection/StreamSocket.h"
 
-#include <libsoup/soup.h>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
 
 namespace plantainhatch {
 
-/** Makes a session that adds nothing to requests and takes nothing from
- * answers: no proxy, no redirects of its own, no decoding, no cookies. Times
- * are bounded by those who use it. */
-GObjectPtr<SoupSession> makeHttpSession();
+/** Keeps idle connections by address. One that becomes readable while it is
+ * idle was closed, or has brought bytes that belong to no request, and is
+ * dropped. Used on the main loop only. */
+class HttpSession {
+public:
+  /** Connections that were idle for longer are not used again, as the other
+   * side may close them at any moment. */
+  static constexpr std::chrono::seconds MaxIdle{4};
+  static constexpr std::size_t MaxIdlePerAddress = 16;
 
-/** Keeps the library from sending a message twice. It would send an idempotent
- * request again without a word when a kept-alive connection dies before the
- * answer, and then without the body. Instead the message is cancelled.
- * \pre Both live until the message has ended. */
-void preventHiddenResend(SoupMessage *message, GCancellable *cancellable);
+  HttpSession() = default;
+  HttpSession(const HttpSession &) = delete;
+  HttpSession &operator=(const HttpSession &) = delete;
+  HttpSession(HttpSession &&) = delete;
+  HttpSession &operator=(HttpSession &&) = delete;
+  ~HttpSession() = default;
+
+  /** The connection that was used last, if one is fit for use. */
+  std::optional<StreamSocket> take(const Address &address);
+  /** Keeps a connection on which nothing is under way. */
+  void keep(const Address &address, StreamSocket socket);
+
+private:
+  struct IdleConnection : ReadyHandler {
+    HttpSession *session = nullptr;
+    Address address;
+    StreamSocket socket;
+    TimePoint since;
+    std::list<IdleConnection>::iterator position;
+
+    void onReady(std::uint32_t events) override;
+  };
+  using IdleList = std::list<IdleConnection>;
+
+  std::map<Address, IdleList> idle;
+
+  static void dropOld(IdleList &list, TimePoint now);
+};
 
 } // namespace plantainhatch
 
--- a/src/connection/IncomingCall.h
+++ b/src/connection/IncomingCall.h
@@ -6,24 +6,23 @@
 #include "connection/AnswerSource.h"
 #include "request/CallRequest.h"
 
-#include <libsoup/soup.h>
-
 #include <functional>
 #include <string>
 
 namespace plantainhatch {
 
-/** A request and the way to answer it: at once, or as a stream. It lives until
- * the library is done with the message. Used on the main loop only. */
+class ServerConnection;
+
+/** A request and the way to answer it: at once, or as a stream. Used on the
+ * main loop only. */
 class IncomingCall
     : public boost::intrusive_ref_counter<IncomingCall,
                                           boost::thread_unsafe_counter> {
 public:
   using Action = std::function<void()>;
 
-  /** Takes over a message whose body has been read, and pauses it. */
-  static boost::intrusive_ptr<IncomingCall> take(SoupServerMessage *message);
-
+  IncomingCall(boost::intrusive_ptr<ServerConnection> connection,
+               CallRequest request);
   ~IncomingCall();
   IncomingCall(const IncomingCall &) = delete;
   IncomingCall &operator=(const IncomingCall &) = delete;
@@ -32,10 +31,10 @@
 
   const CallRequest &request() const { return callRequest; }
   /** The IP number of the other side. */
-  std::string remoteHost() const;
+  std::string remoteHost() const { return peer.host; }
 
   /** Tells connections of one other side apart. */
-  std::string connectionName() const;
+  std::string connectionName() const { return peer.toString(); }
 
   /** Calls \p action if the other side goes before it was answered in full. */
   void onGone(Action action) { goneAction = std::move(action); }
@@ -60,27 +59,20 @@
   void closeAfterAnswer() { mustClose = true; }
 
 private:
-  GObjectPtr<SoupServerMessage> message;
+  friend class ServerConnection;
+
+  /** Null once the answer is complete or the connection is gone. */
+  boost::intrusive_ptr<ServerConnection> connection;
   CallRequest callRequest;
+  Address peer;
   Action goneAction;
-  Action writtenAction;
-  int watchedFd = -1;
   bool mustClose = false;
-  bool isEnded = false;
-  bool isPaused = true;
-
-  explicit IncomingCall(SoupServerMessage *message);
+  bool isChunked = false;
 
-  void readRequest();
-  void watchHangup();
-  void onHangup();
-  void stopWatching();
-  void setHead(unsigned status, const HeaderList &headers);
-  void resume();
+  std::string makeHead(unsigned status, const HeaderList &headers) const;
   void finish();
-
-  static void onWroteChunk(SoupServerMessage *message, gpointer data);
-  static void onFinished(SoupServerMessage *message, gpointer data);
+  /** The connection has gone. */
+  void leave();
 };
 
 /** A shared call. */
--- /dev/null
+++ b/src/connection/Reactor.cpp
@@ -0,0 +1,70 @@
+#include "connection/Reactor.h"
+
+#include <glib-unix.h>
+#include <sys/epoll.h>
+
+#include <array>
+
+namespace plantainhatch {
+
+namespace {
+
+constexpr std::size_t EventsPerTurn = 64;
+
+} // namespace
+
+Reactor &Reactor::instance() {
+  // Never destroyed, as connections may end after it would be.
+  static auto &reactor = *new Reactor;
+  return reactor;
+}
+
+Reactor::Reactor() : epoll(epoll_create1(EPOLL_CLOEXEC)) {
+  GSource *const source = g_unix_fd_source_new(epoll, G_IO_IN);
+  g_source_set_callback(source, G_SOURCE_FUNC(onReadable), this, nullptr);
+  // Saves the library from taking the source out of its poll set and back in
+  // each time.
+  g_source_set_can_recurse(source, TRUE);
+  g_source_attach(source, nullptr);
+  g_source_unref(source);
+}
+
+void Reactor::add(int fd, std::uint32_t events, ReadyHandler &handler) {
+  epoll_event event{};
+  event.events = events;
+  event.data.fd = fd;
+  handlers[fd] = &handler;
+  epoll_ctl(epoll, EPOLL_CTL_ADD, fd, &event);
+}
+
+void Reactor::modify(int fd, std::uint32_t events) {
+  epoll_event event{};
+  event.events = events;
+  event.data.fd = fd;
+  epoll_ctl(epoll, EPOLL_CTL_MOD, fd, &event);
+}
+
+void Reactor::remove(int fd) {
+  handlers.erase(fd);
+  epoll_ctl(epoll, EPOLL_CTL_DEL, fd, nullptr);
+}
+
+void Reactor::dispatch() {
+  std::array<epoll_event, EventsPerTurn> events{};
+  const int n = epoll_wait(epoll, events.data(), EventsPerTurn, 0);
+  for (int it = 0; it < n; ++it) {
+    const epoll_event &event = events[static_cast<std::size_t>(it)];
+    // An earlier handler of this turn may have closed the socket.
+    const auto found = handlers.find(event.data.fd);
+    if (found != handlers.end())
+      found->second->onReady(event.events);
+  }
+}
+
+gboolean Reactor::onReadable(gint /*fd*/, GIOCondition /*condition*/,
+                             gpointer data) {
+  static_cast<Reactor *>(data)->dispatch();
+  return G_SOURCE_CONTINUE;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/connection/ServerConnection.cpp
@@ -0,0 +1,239 @@
+#include "connection/ServerConnection.h"
+
+#include "request/HeaderNames.h"
+#include "request/HttpStatus.h"
+#include "request/Outcome.h"
+
+#include <sys/epoll.h>
+
+#include <utility>
+
+namespace plantainhatch {
+
+namespace {
+
+using ConnectionPtr = boost::intrusive_ptr<ServerConnection>;
+
+constexpr std::size_t ReadBytes = 16UL * 1024;
+
+} // namespace
+
+ConnectionPtr ServerConnection::serve(StreamSocket socket,
+                                      const Handler &handler) {
+  const ConnectionPtr connection(
+      new ServerConnection(std::move(socket), handler));
+  // Released by end().
+  intrusive_ptr_add_ref(connection.get());
+  connection->socket.watch(*connection, EPOLLRDHUP);
+  return connection;
+}
+
+ServerConnection::ServerConnection(StreamSocket newSocket,
+                                   const Handler &handler)
+    : socket(std::move(newSocket)), handler(&handler) {}
+
+void ServerConnection::onReady(std::uint32_t events) {
+  const ConnectionPtr self(this);
+  if ((events & EPOLLOUT) != 0 && !socket.flush()) {
+    onBroken();
+    return;
+  }
+  if (!socket.hasQueued() && writtenAction)
+    std::exchange(writtenAction, nullptr)();
+  if (!isDone && (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+    readMore();
+  if (isDone)
+    return;
+  if (isClosing && !isLingering && call == nullptr && !socket.hasQueued())
+    linger();
+  else
+    parse();
+  // A peer that closes while its request is served has gone; the rest of its
+  // input no longer matters.
+  if (!isDone && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+    onPeerEnded();
+}
+
+void ServerConnection::readMore() {
+  while (input.size() < MaxReadAhead) {
+    const auto result = socket.read(input, ReadBytes);
+    if (result == StreamSocket::ReadResult::Bytes) {
+      if (isLingering)
+        input.clear();
+      continue;
+    }
+    if (result == StreamSocket::ReadResult::End)
+      hasPeerEnded = true;
+    else if (result == StreamSocket::ReadResult::Broken)
+      onBroken();
+    break;
+  }
+  if (isDone)
+    return;
+  socket.setReading(input.size() < MaxReadAhead && !hasPeerEnded);
+  if (hasPeerEnded)
+    onPeerEnded();
+}
+
+void ServerConnection::parse() {
+  if (std::exchange(isParsing, true))
+    return;
+  const ConnectionPtr self(this);
+  while (!isDone && call == nullptr && !isClosing && !input.empty() &&
+         parseOne()) {
+  }
+  isParsing = false;
+  if (!isDone && input.size() < MaxReadAhead && !hasPeerEnded)
+    socket.setReading(true);
+}
+
+bool ServerConnection::parseOne() {
+  const bool hadHead = reader.hasHead();
+  const std::size_t n = reader.feed(input);
+  input.erase(0, n);
+  if (!hadHead && reader.state() == HttpMessageReader::State::Body &&
+      findHeader(reader.headers, "Expect") &&
+      reader.contentLength.value_or(0) <= MaxBodyBytes)
+    send("HTTP/1.1 100 Continue\r\n\r\n");
+  const auto before = reader.state();
+  onReaderState();
+  return before == HttpMessageReader::State::Complete;
+}
+
+void ServerConnection::onReaderState() {
+  using State = HttpMessageReader::State;
+  const bool isTooLarge =
+      reader.hasHead() && (reader.contentLength.value_or(0) > MaxBodyBytes ||
+                           reader.body.size() > MaxBodyBytes);
+  if (reader.state() == State::HeadTooLarge)
+    refuse(httpStatus::HeaderFieldsTooLarge,
+           "the headers are larger than 16 KiB\n");
+  else if (reader.state() == State::Malformed)
+    refuse(httpStatus::BadRequest, "the request is not HTTP/1.1\n");
+  else if (isTooLarge)
+    refuse(httpStatus::ContentTooLarge, "the body is larger than 1 MiB\n");
+  else if (reader.state() == State::Complete)
+    handOver();
+}
+
+void ServerConnection::handOver() {
+  CallRequest request;
+  request.method = reader.method();
+  request.target = std::move(reader.target);
+  request.headers = std::move(reader.headers);
+  request.body = std::move(reader.body);
+  const IncomingCallPtr incoming(new IncomingCall(this, std::move(request)));
+  call = incoming.get();
+  (*handler)(incoming);
+}
+
+void ServerConnection::refuse(unsigned status, const std::string &text) {
+  const IncomingCallPtr incoming(new IncomingCall(this, {}));
+  call = incoming.get();
+  incoming->closeAfterAnswer();
+  incoming->reply(status,
+                  {{headers::Outcome, std::string(toString(Outcome::NotRun))},
+                   {"Content-Type", "text/plain"}},
+                  text);
+}
+
+void ServerConnection::sendThen(std::string_view bytes, Action written) {
+  if (isDone)
+    return;
+  const ConnectionPtr self(this);
+  if (!socket.write(bytes)) {
+    onBroken();
+    return;
+  }
+  if (!written)
+    return;
+  if (socket.hasQueued())
+    writtenAction = std::move(written);
+  else
+    written();
+}
+
+void ServerConnection::onAnswered(bool mustClose) {
+  call = nullptr;
+  if (isDone)
+    return;
+  const ConnectionPtr self(this);
+  if (mustClose || isClosing) {
+    isClosing = true;
+    if (!socket.hasQueued())
+      linger();
+    return;
+  }
+  reader.restart();
+  if (hasPeerEnded && input.empty())
+    onPeerEnded();
+  else
+    parse();
+}
+
+void ServerConnection::onPeerEnded() {
+  hasPeerEnded = true;
+  if (call != nullptr) {
+    IncomingCall *const gone = std::exchange(call, nullptr);
+    const IncomingCallPtr held(gone);
+    const ConnectionPtr self(this);
+    socket.reset();
+    end();
+    held->leave();
+    return;
+  }
+  if (isLingering || input.empty() || isClosing)
+    end();
+  else
+    parse();
+  if (!isDone && call == nullptr)
+    end();
+}
+
+void ServerConnection::onBroken() {
+  const ConnectionPtr self(this);
+  const IncomingCallPtr held(std::exchange(call, nullptr));
+  end();
+  if (held)
+    held->leave();
+}
+
+void ServerConnection::reset() {
+  call = nullptr;
+  if (isDone)
+    return;
+  socket.reset();
+  end();
+}
+
+void ServerConnection::closeWhenIdle() {
+  isClosing = true;
+  if (call == nullptr && !socket.hasQueued())
+    linger();
+}
+
+void ServerConnection::linger() {
+  if (isDone || isLingering)
+    return;
+  isLingering = true;
+  input.clear();
+  socket.closeSending();
+  socket.setReading(true);
+  const ConnectionPtr self(this);
+  lingerTimer.startOnce(LingerTime, [self] { self->end(); });
+}
+
+void ServerConnection::end() {
+  if (std::exchange(isDone, true))
+    return;
+  socket.close();
+  unlink();
+  writtenAction = nullptr;
+  input.clear();
+  // The timer's action may be what runs now.
+  const ConnectionPtr self(this, false);
+  if (lingerTimer.isRunning())
+    lingerTimer.stop();
+}
+
+} // namespace plantainhatch
--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -27,8 +27,14 @@
   return cluster + "-config-" + digest;
 }
 
-ConfigurationTask::ConfigurationTask(NodeServices &services, PeerTask &peers)
-    : services(services), peers(peers) {}
+ConfigurationTask::ConfigurationTask(NodeServices &services, PeerTask &peers,
+                                     ConfigurationKeeper::Builder builder)
+    : services(services), peers(peers), keeper(std::move(builder)) {}
+
+void ConfigurationTask::startWithoutHead(std::function<void()> confirm) {
+  confirmElsewhere = std::move(confirm);
+  tickTimer.startRepeating(FreshnessTick, [this] { tick(); });
+}
 
 void ConfigurationTask::start() {
   tickTimer.startRepeating(FreshnessTick, [this] { tick(); });
@@ -54,7 +60,10 @@
 }
 
 void ConfigurationTask::confirmAfterPause() {
-  readHead();
+  if (confirmElsewhere)
+    confirmElsewhere();
+  else
+    readHead();
   if (const auto peer = peers.pickRandomPeer())
     pull(*peer);
 }
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -28,7 +28,9 @@
 
   using AdoptedListener = std::function<void(const ConfigurationPtr &before)>;
 
-  ConfigurationTask(NodeServices &services, PeerTask &peers);
+  /** \param builder reads the texts of versions. */
+  ConfigurationTask(NodeServices &services, PeerTask &peers,
+                    ConfigurationKeeper::Builder builder);
 
   /** Reads the store for the first time, and goes on. */
   void start();
@@ -40,6 +42,11 @@
 
   /** A peer has said that it has this version. */
   void onVersionHeard(const Address &peer, std::uint64_t version);
+  /** Something else than the head row tells of versions: the head row is not
+   * read, and \p confirm is called when this node cannot trust its version. */
+  void startWithoutHead(std::function<void()> confirm);
+  /** The version in force is the newest, as asked at \p askedAt. */
+  void onConfirmed(TimePoint askedAt) { guard.onConfirmed(askedAt); }
   /** An operator's command has had this version accepted. */
   void onOffered(const ConfigurationOffer &offer);
   /** What a peer needs. */
@@ -61,6 +68,7 @@
   Timer tickTimer;
   std::chrono::milliseconds backoff{0};
   TimePoint notBefore;
+  std::function<void()> confirmElsewhere;
   bool isReading = false;
   bool isPulling = false;
   bool storeUp = true;
--- a/src/node/ForwardedCall.cpp
+++ b/src/node/ForwardedCall.cpp
@@ -6,6 +6,7 @@
 #include "request/HttpStatus.h"
 
 #include <charconv>
+#include <sstream>
 
 namespace plantainhatch {
 
@@ -28,9 +29,18 @@
   return std::chrono::milliseconds(ms);
 }
 
+unsigned parsePriority(const std::string &text) {
+  unsigned priority = 0;
+  std::from_chars(text.data(), text.data() + text.size(), priority);
+  return priority;
+}
+
 std::string formatLoad(const LoadReport &load) {
-  return std::to_string(load.inFlight) + " " + std::to_string(load.limit) +
-         " " + std::to_string(load.latencyUs);
+  std::ostringstream text;
+  text << load.inFlight << " " << load.limit << " " << load.latencyUs << " "
+       << load.slowdownPercent << " " << load.isCold << " "
+       << load.failurePercent;
+  return text.str();
 }
 
 /** One forwarded call. Held by the callbacks of its hand-over. */
@@ -45,7 +55,7 @@
 
   void start() {
     const CallRequest &original = incoming->request();
-    const auto timeout = parseTimeout(headerOf(original, headers::TimeoutMs));
+    const auto timeout = parseTimeout(headerOf(original, headers::NodeTimeoutMs));
     if (!timeout || !isProved()) {
       services.metrics.add("forward_rejected_total");
       refuse(httpStatus::Forbidden, "proof");
@@ -57,7 +67,9 @@
     handOver.fingerprint = fingerprintOf(*handOver.request, handOver.service);
     handOver.deadline = NodeServices::now() + *timeout;
     handOver.mayQueue = headerOf(original, headers::MayQueue) == "1";
-    handOver.isClaimed = headerOf(original, headers::Claimed) == "1";
+    handOver.needsFreshConnection =
+        headerOf(original, headers::FreshConnection) == "1";
+    handOver.priority = parsePriority(headerOf(original, headers::Priority));
     const boost::intrusive_ptr<ForwardedCall> self(this);
     const GateCallPtr call =
         gate.handOver(std::move(handOver), [self](HandOverResult result) {
@@ -83,10 +95,10 @@
     if (!time)
       return false;
     const ForwardClaims claims{headerOf(request, headers::Service), *time,
-                               headerOf(request, headers::TimeoutMs),
-                               services.settings.callers.toString()};
+                               headerOf(request, headers::NodeTimeoutMs),
+                               services.settings.forwardAddress().toString()};
     CallRequest proved = request;
-    proved.id = headerOf(request, headers::RequestId);
+    proved.id = headerOf(request, headers::NodeRequestId);
     if (!isForwardProofValid(services.settings.key, proved, claims,
                              headerOf(request, headers::Proof),
                              NodeServices::wallNow()))
@@ -97,18 +109,16 @@
 
   std::shared_ptr<const CallRequest> makeRequest() const {
     auto request = std::make_shared<CallRequest>(incoming->request());
-    request->id = headerOf(*request, headers::RequestId);
+    request->id = headerOf(*request, headers::NodeRequestId);
     removeHopHeaders(request->headers);
-    removeHeader(request->headers, headers::RequestId);
-    removeHeader(request->headers, headers::TimeoutMs);
     return request;
   }
 
   HeaderList nodeHeaders() {
     return {{headers::Load, formatLoad(gate.load())},
             {headers::Time, services.stamp().toString()},
-            {headers::RequestId,
-             headerOf(incoming->request(), headers::RequestId)}};
+            {services.dialect.requestId,
+             headerOf(incoming->request(), headers::NodeRequestId)}};
   }
 
   void onResult(HandOverResult result) {
@@ -123,7 +133,7 @@
   }
 
   void relay(HandedAnswer answer) {
-    removeHeader(answer.head.headers, headers::RequestId);
+    removeHeader(answer.head.headers, services.dialect.requestId);
     for (auto &header : nodeHeaders())
       answer.head.headers.push_back(std::move(header));
     const boost::intrusive_ptr<ForwardedCall> self(this);
--- a/src/node/GateCall.cpp
+++ b/src/node/GateCall.cpp
@@ -1,22 +1,14 @@
 #include "node/GateCall.h"
 
 #include "node/GateTask.h"
-#include "request/HeaderNames.h"
+
 #include "request/HttpStatus.h"
 
 #include <algorithm>
 
 namespace plantainhatch {
 
-namespace {
-
-bool isShed(const AnswerHead &head) {
-  return head.status == httpStatus::ServiceUnavailable &&
-         findHeader(head.headers, headers::Outcome) ==
-             std::string(toString(Outcome::NotRun));
-}
 
-} // namespace
 
 GateCall::GateCall(GateTask &gateTask, CallId id, HandOver handOver,
                    Receiver receiver)
@@ -41,7 +33,8 @@
                           [self] { self->onDeadline(); });
   exchange = Exchange::start(
       task.services.session.get(), *handOver.request,
-      {task.gate.target().address, extraHeaders(), handOver.isClaimed},
+      {task.gate.target().address, extraHeaders(),
+       handOver.needsFreshConnection},
       [self](Exchange::Result result) { self->onHead(std::move(result)); });
 }
 
@@ -99,20 +92,42 @@
 }
 
 void GateCall::onAnswer(AnswerHead head) {
-  if (isShed(head)) {
-    onShed();
+  const Dialect &dialect = task.services.dialect;
+  if (const auto load = dialect.readLoad(head.headers))
+    task.takeLoad(*load);
+  switch (dialect.judge(head.status, head.headers, handOver.request->id)) {
+  case AnswerKind::NotRun:
+    onNotRun(Refusal::TargetShed);
+    return;
+  case AnswerKind::WrongTarget:
+    onNotRun(Refusal::WrongTarget);
+    return;
+  case AnswerKind::Foreign:
+    onForeign();
     return;
+  case AnswerKind::Genuine:
+    break;
   }
   state = State::Answered;
-  task.gate.answered(callId, NodeServices::now());
+  const TimePoint now = NodeServices::now();
+  task.gate.noteAnswer(head.status >= httpStatus::InternalServerError, now);
+  task.gate.answered(callId, now);
   removeHopHeaders(head.headers);
   deliver(HandedAnswer{std::move(head), this});
 }
 
-void GateCall::onShed() {
+void GateCall::onNotRun(Refusal refusal) {
   exchange->cancel();
   end(GateOutcome::Shed);
-  deliver(HandRefused{Refusal::TargetShed});
+  deliver(HandRefused{refusal});
+}
+
+void GateCall::onForeign() {
+  // The connection is out of step with the target, and is not used again.
+  exchange->cancel();
+  task.gate.noteAnswer(true, NodeServices::now());
+  end(GateOutcome::Failed);
+  deliver(HandFailed{false, "foreign-answer"});
 }
 
 void GateCall::onError(const ExchangeError &error) {
@@ -122,6 +137,7 @@
     deliver(HandRefused{Refusal::NotConnected});
     return;
   }
+  task.gate.noteAnswer(true, NodeServices::now());
   // The call must still be counted as in flight when the crash is looked into.
   const GateCallPtr self(this);
   task.crashes.onFailure(
@@ -161,9 +177,13 @@
 HeaderList GateCall::extraHeaders() const {
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(
       handOver.deadline - NodeServices::now());
-  return {{headers::RequestId, handOver.request->id},
-          {headers::TimeoutMs,
-           std::to_string(std::max<std::int64_t>(1, left.count()))}};
+  const Dialect &dialect = task.services.dialect;
+  HeaderList list{{dialect.requestId, handOver.request->id},
+                  {dialect.timeoutMs,
+                   std::to_string(std::max<std::int64_t>(1, left.count()))}};
+  if (!dialect.expectedTarget.empty())
+    list.emplace_back(dialect.expectedTarget, bootId);
+  return list;
 }
 
 } // namespace plantainhatch
--- a/src/node/GateCall.h
+++ b/src/node/GateCall.h
@@ -27,8 +27,10 @@
   std::uint64_t fingerprint = 0;
   TimePoint deadline;
   bool mayQueue = false;
-  /** The call is recorded as a claim and goes out on a fresh connection. */
-  bool isClaimed = false;
+  /** The call goes out on a connection that no other call has used. */
+  bool needsFreshConnection = false;
+  /** The rank in the gate's queue; 0 goes first. */
+  unsigned priority = 0;
 };
 
 /** The target answers. */
@@ -99,7 +101,8 @@
   void onDeadline();
   void onHead(Exchange::Result result);
   void onAnswer(AnswerHead head);
-  void onShed();
+  void onNotRun(Refusal refusal);
+  void onForeign();
   void onError(const ExchangeError &error);
   void giveUp(GateOutcome outcome);
   void end(GateOutcome outcome);
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -22,8 +22,9 @@
 GateCallPtr GateTask::handOver(HandOver request, GateCall::Receiver receiver) {
   updateClosure();
   const TimePoint now = NodeServices::now();
-  const GateRequest asked{nextId++, request.service, request.fingerprint,
-                          request.deadline, request.mayQueue};
+  const GateRequest asked{nextId++,         request.service,
+                          request.fingerprint, request.deadline,
+                          request.priority, request.mayQueue};
   const bool isQuarantined = crashes.isQuarantined(request.fingerprint);
   GateCallPtr call(
       new GateCall(*this, asked.id, std::move(request), std::move(receiver)));
@@ -38,6 +39,8 @@
     break;
   case Admission::Kind::Queued:
     waiting.push_back(*call);
+    if (admission.displaced)
+      settle({{*admission.displaced, Refusal::Displaced}});
     break;
   case Admission::Kind::Refused:
     services.metrics.add("gate_refused_total",
@@ -55,7 +58,9 @@
   const std::string oldBoot = gate.target().bootId;
   const bool isNewStart = gate.announce(target);
   announcedAt = NodeServices::now();
-  sentinel.watch(target.address);
+  // At a site the target is asked for its health often enough.
+  if (!services.settings.site)
+    sentinel.watch(target.address);
   if (isNewStart) {
     callsOthers = false;
     crashes.onNewStart(oldBoot);
@@ -96,6 +101,13 @@
   LoadReport report;
   report.inFlight = static_cast<std::uint16_t>(gate.inFlight() + gate.queued());
   report.limit = static_cast<std::uint16_t>(gate.limit());
+  const TimePoint now = NodeServices::now();
+  constexpr double Percent = 100;
+  report.slowdownPercent = static_cast<std::uint16_t>(
+      std::clamp(gate.slowdown() * Percent, 1.0, 65'535.0));
+  report.isCold = gate.isRateLimited(now);
+  report.failurePercent =
+      static_cast<std::uint16_t>(gate.failureRate(now) * Percent);
   report.latencyUs = static_cast<std::uint32_t>(std::min<std::int64_t>(
       latency.count(), std::numeric_limits<std::uint32_t>::max()));
   return report;
@@ -104,7 +116,28 @@
 void GateTask::tick() {
   updateClosure();
   expireTarget();
-  settle(gate.expire(NodeServices::now()));
+  settle(gate.poll(NodeServices::now()));
+}
+
+void GateTask::setCold(double callsPerSecond, TimePoint until) {
+  const TimePoint now = NodeServices::now();
+  const bool wasCold = gate.isRateLimited(now);
+  gate.setCold(callsPerSecond, until);
+  if (gate.isRateLimited(now) != wasCold && loadStep)
+    loadStep();
+}
+
+void GateTask::takeLoad(const TargetLoad &load) {
+  // Smaller changes ride on the answers that flow anyway.
+  constexpr double StepFactor = 1.6;
+  gate.setSlowdown(load.slowdown);
+  const bool isStep = load.slowdown > toldSlowdown * StepFactor ||
+                      load.slowdown * StepFactor < toldSlowdown;
+  if (!isStep)
+    return;
+  toldSlowdown = load.slowdown;
+  if (loadStep)
+    loadStep();
 }
 
 void GateTask::updateClosure() { gate.closeFor(reasonToClose()); }
@@ -127,11 +160,19 @@
 }
 
 void GateTask::expireTarget() {
-  const bool isLate = NodeServices::now() - announcedAt > AnnounceLifetime;
+  const bool isLate = NodeServices::now() - announcedAt > lifetime();
   if (isLate && gate.target().state != TargetState::Absent)
     loseTarget("no announcement for longer than its lifetime");
 }
 
+Duration GateTask::lifetime() const {
+  // A site's targets beat slowly and at times late; whether they live is told
+  // by their health as well.
+  constexpr std::chrono::seconds SiteLifetime{8};
+  return services.settings.site ? Duration(SiteLifetime)
+                                : Duration(AnnounceLifetime);
+}
+
 void GateTask::loseTarget(const std::string &why) {
   if (gate.target().state == TargetState::Absent)
     return;
--- a/src/node/GateTask.h
+++ b/src/node/GateTask.h
@@ -48,6 +48,21 @@
    * it. */
   void noteIncoming(const std::string &requestId);
 
+  /** The target bears no more than \p callsPerSecond until \p until. */
+  void setCold(double callsPerSecond, TimePoint until);
+
+  /** The target has told its load, on an answer or when it was asked. */
+  void takeLoad(const TargetLoad &load);
+
+  /** The target does not answer where it listened. */
+  void loseTarget(const std::string &why);
+
+  /** Calls \p action when the target became slower or faster by much, as other
+   * nodes should hear of that at once. */
+  void onLoadStep(std::function<void()> action) {
+    loadStep = std::move(action);
+  }
+
   /** The load for reports to other nodes. */
   LoadReport load() const;
   const Gate &state() const { return gate; }
@@ -73,12 +88,14 @@
   TimePoint announcedAt;
   Timer tickTimer;
   TargetSentinel sentinel;
+  std::function<void()> loadStep;
+  double toldSlowdown = 1;
 
   void tick();
   void updateClosure();
   Refusal reasonToClose() const;
   void expireTarget();
-  void loseTarget(const std::string &why);
+  Duration lifetime() const;
   void publishTarget();
   void recordCut();
   void settle(const std::vector<QueueResult> &results);
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -5,7 +5,10 @@
 #include "request/HeaderNames.h"
 #include "request/HttpStatus.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
+#include <sstream>
 
 namespace plantainhatch {
 
@@ -32,20 +35,37 @@
 void IngressCall::begin() {
   request = makeRequest();
   task.gate.noteIncoming(request->id);
-  rule = configuration->findService(request->path());
+  const std::string host =
+      findHeader(request->headers, "Host").value_or(std::string());
+  rule = configuration->findService(std::string_view(host).substr(
+                                        0, host.find(':')),
+                                    request->path());
+  if (rule == nullptr && task.services.settings.site &&
+      configuration->head().version == 0) {
+    answerSelf({httpStatus::ServiceUnavailable, Outcome::NotRun,
+                "no-configuration", CallDecision::RetryAfter});
+    return;
+  }
   if (rule == nullptr) {
     reject(httpStatus::NotFound, "no-rule");
     return;
   }
-  const auto timeout = timeoutOf(incoming->request(), *rule);
+  if (request->id.empty()) {
+    reject(httpStatus::BadRequest, "missing-" + task.services.dialect.requestId);
+    return;
+  }
+  service = task.chooseService(*rule);
+  const auto timeout = timeoutOf(incoming->request(), *rule,
+                                 task.services.dialect.timeoutMs);
   if (!timeout) {
     reject(httpStatus::BadRequest, "timeout-not-a-positive-number");
     return;
   }
   deadline = arrivedAt + *timeout;
-  fingerprint = fingerprintOf(*request, rule->name);
+  fingerprint = fingerprintOf(*request, service);
   decision = std::make_unique<CallDecision>(
-      isIdempotent(*request, *rule), deadline, task.stateOf(rule->name).budget);
+      isIdempotent(*request, *rule), deadline, task.budgetOf(service),
+      rule->attempts);
   if (task.crashes.isQuarantined(fingerprint)) {
     answerSelf({httpStatus::ServiceUnavailable, Outcome::NotRun,
                 std::string(toString(Refusal::Quarantined)),
@@ -69,14 +89,20 @@
 
 std::shared_ptr<const CallRequest> IngressCall::makeRequest() const {
   auto cleaned = std::make_shared<CallRequest>(incoming->request());
-  cleaned->id = findHeader(cleaned->headers, headers::RequestId).value_or("");
-  if (cleaned->id.empty())
+  const Dialect &dialect = task.services.dialect;
+  cleaned->id = findHeader(cleaned->headers, dialect.requestId).value_or("");
+  if (cleaned->id.empty() && !dialect.requiresRequestId)
     cleaned->id = task.services.makeId();
   removeHopHeaders(cleaned->headers);
-  removeHeader(cleaned->headers, headers::RequestId);
-  removeHeader(cleaned->headers, headers::TimeoutMs);
-  removeHeader(cleaned->headers, headers::Outcome);
-  removeHeader(cleaned->headers, "Expect");
+  for (const std::string &name :
+       {dialect.requestId, dialect.timeoutMs, dialect.callerService,
+        dialect.expectedTarget, std::string(headers::Outcome),
+        std::string("Expect")})
+    if (!name.empty())
+      removeHeader(cleaned->headers, name);
+  if (!dialect.callerService.empty())
+    cleaned->headers.emplace_back(dialect.callerService,
+                                  task.services.settings.site->service);
   return cleaned;
 }
 
@@ -145,7 +171,7 @@
 }
 
 void IngressCall::forward(bool mayQueue) {
-  const auto picked = task.pick(*configuration, rule->name, decision->tried());
+  const auto picked = task.pick(*configuration, service, decision->tried());
   if (!picked) {
     perform(decision->onNoChoice());
     return;
@@ -173,8 +199,11 @@
 
 AnswerSourcePtr IngressCall::handOver(const Choice &choice, bool mayQueue,
                                       const std::shared_ptr<bool> &hasResult) {
-  HandOver order{request,  rule->name, fingerprint,
-                 deadline, mayQueue,   isClaimHeld};
+  const bool isIsolated = task.services.dialect.isolatesUnsafeCalls &&
+                          !isIdempotent(*request, *rule);
+  HandOver order{request,  service, fingerprint,
+                 deadline, mayQueue, isClaimHeld || isIsolated,
+                 rule->priority};
   const CallPtr self(this);
   auto receiver = [self, hasResult,
                    target = choice.peers](HandOverResult result) {
@@ -205,7 +234,7 @@
   }
   const auto &failed = std::get<HandFailed>(result);
   task.measure.loads().onEnded(target, true, now);
-  task.services.events.count(EventKind::CallsFailed, rule->name,
+  task.services.events.count(EventKind::CallsFailed, service,
                              "at " + target.toString() + ": " + failed.reason);
   perform(decision->onFailed(target, failed.didTargetDie, now));
 }
@@ -222,17 +251,42 @@
   });
 }
 
+bool IngressCall::holdsAnswersBack() const {
+  return isClaimHeld || task.services.settings.site.has_value();
+}
+
+bool IngressCall::triesElsewhere(const Address &target,
+                                 const HandedAnswer &answer) {
+  const bool isFailure = task.services.settings.site &&
+                         answer.head.status >= httpStatus::InternalServerError;
+  if (!isFailure || !isIdempotent(*request, *rule))
+    return false;
+  const TimePoint now = NodeServices::now();
+  CallAction action = decision->onFailed(target, false, now);
+  if (std::holds_alternative<AnswerAction>(action))
+    return false;
+  attempts.erase(target);
+  task.measure.loads().onEnded(target, true, now);
+  answer.source->cancel();
+  perform(std::move(action));
+  return true;
+}
+
 void IngressCall::takeAnswer(const Address &target, HandedAnswer answer) {
+  if (triesElsewhere(target, answer))
+    return;
+  decision->onAnswered(target);
   task.stateOf(rule->name).latencies.record(NodeServices::now() - arrivedAt);
   attempts.erase(target);
   cancelAttempts();
   deadlineTimer.stop();
   hedgeTimer.stop();
-  removeHeader(answer.head.headers, headers::RequestId);
-  answer.head.headers.emplace_back(headers::RequestId, request->id);
+  const std::string &idHeader = task.services.dialect.requestId;
+  removeHeader(answer.head.headers, idHeader);
+  answer.head.headers.emplace_back(idHeader, request->id);
   // Held until the end, so that the load of the target counts this call.
   attempts[target] = answer.source;
-  if (isClaimHeld)
+  if (holdsAnswersBack())
     collect(target, answer.head, answer.source);
   else
     relay(target, answer.head, answer.source);
@@ -241,7 +295,9 @@
 void IngressCall::collect(const Address &target, const AnswerHead &head,
                           const AnswerSourcePtr &source) {
   const CallPtr self(this);
-  deadlineTimer.startOnce(rule->timeout, [self, target, source] {
+  const Duration left = isClaimHeld ? Duration(rule->timeout)
+                                    : deadline - NodeServices::now();
+  deadlineTimer.startOnce(std::max(left, Duration(1)), [self, target, source] {
     source->cancel();
     self->attempts.erase(target);
     self->answerSelf({httpStatus::GatewayTimeout, Outcome::Unknown,
@@ -262,9 +318,9 @@
       collect(target, head, source);
       return;
     }
-    claim->finish(ClaimState::Done,
-                  {head.status, head.headers, collected, false});
-    isClaimHeld = false;
+    if (std::exchange(isClaimHeld, false))
+      claim->finish(ClaimState::Done,
+                    {head.status, head.headers, collected, false});
     if (isCallerGone) {
       drain(source);
       end();
@@ -281,17 +337,31 @@
        request->method != "HEAD");
   task.measure.loads().onEnded(target, isBroken, now);
   if (isBroken) {
-    answerSelf({httpStatus::BadGateway, Outcome::Unknown, "answer-broken",
-                std::nullopt});
+    onHeldAnswerBroken(target);
     return;
   }
-  claim->finish(ClaimState::Done, {head.status, head.headers, collected, true});
-  isClaimHeld = false;
+  if (std::exchange(isClaimHeld, false))
+    claim->finish(ClaimState::Done,
+                  {head.status, head.headers, collected, true});
   if (!isCallerGone)
     incoming->reply(head.status, head.headers, collected);
   end();
 }
 
+void IngressCall::onHeldAnswerBroken(const Address &target) {
+  if (isClaimHeld) {
+    answerSelf({httpStatus::BadGateway, Outcome::Unknown, "answer-broken",
+                std::nullopt});
+    return;
+  }
+  collected.clear();
+  const TimePoint now = NodeServices::now();
+  const CallPtr self(this);
+  deadlineTimer.startOnce(std::max(deadline - now, Duration(1)),
+                          [self] { self->onDeadline(); });
+  perform(decision->onFailed(target, false, now));
+}
+
 void IngressCall::relay(const Address &target, const AnswerHead &head,
                         const AnswerSourcePtr &source) {
   const CallPtr self(this);
@@ -309,6 +379,10 @@
 }
 
 void IngressCall::answerSelf(const AnswerAction &answer) {
+  LOG(INFO) << "request " << request->id << ": answered " << answer.status
+            << " " << toString(answer.outcome) << " (" << answer.reason
+            << "), service " << service << ", targets tried "
+            << (decision ? decision->tried().size() : 0);
   if (isEnded)
     return;
   cancelAttempts();
@@ -321,24 +395,33 @@
                                         : EventKind::CallsFailed,
       rule == nullptr ? "no service" : rule->name, answer.reason);
   HeaderList list{{headers::Outcome, std::string(toString(answer.outcome))},
-                  {headers::RequestId, request->id},
+                  {task.services.dialect.requestId, request->id},
                   {"Content-Type", "text/plain"}};
   if (answer.retryAfter)
     list.emplace_back(headers::RetryAfter,
-                      std::to_string(answer.retryAfter->count()));
+                      formatRetryAfter(*answer.retryAfter));
   if (!isCallerGone)
     incoming->reply(answer.status, list, answer.reason + "\n");
   end();
 }
 
+std::string
+IngressCall::formatRetryAfter(std::chrono::milliseconds delay) const {
+  if (!task.services.dialect.hasFractionalRetryAfter)
+    return std::to_string(std::chrono::ceil<std::chrono::seconds>(delay).count());
+  std::ostringstream text;
+  text << std::chrono::duration<double>(delay).count();
+  return text.str();
+}
+
 void IngressCall::reject(unsigned status, const std::string &reason) {
   answerSelf({status, Outcome::NotRun, reason, std::nullopt});
 }
 
 void IngressCall::replay(const StoredAnswer &answer) {
   HeaderList list = answer.headers;
-  removeHeader(list, headers::RequestId);
-  list.emplace_back(headers::RequestId, request->id);
+  removeHeader(list, task.services.dialect.requestId);
+  list.emplace_back(task.services.dialect.requestId, request->id);
   incoming->reply(answer.status, list, answer.body);
   task.services.metrics.add("answers_replayed_total");
   end();
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -34,6 +34,8 @@
   std::function<void()> onDone;
   ConfigurationPtr configuration;
   const ServiceRule *rule = nullptr;
+  /** The part of the rule that this call goes to. */
+  std::string service;
   std::shared_ptr<const CallRequest> request;
   std::uint64_t fingerprint = 0;
   TimePoint arrivedAt;
@@ -49,7 +51,7 @@
   std::map<Address, AnswerSourcePtr> attempts;
   Timer deadlineTimer;
   Timer hedgeTimer;
-  /** The part of a claimed call's answer that has been read. */
+  /** The part of the answer that has been read, while it is held back. */
   std::string collected;
 
   IngressCall(IngressTask &task, IncomingCallPtr incoming,
@@ -70,6 +72,9 @@
   void startHedgeTimer();
 
   void takeAnswer(const Address &target, HandedAnswer answer);
+  bool triesElsewhere(const Address &target, const HandedAnswer &answer);
+  bool holdsAnswersBack() const;
+  void onHeldAnswerBroken(const Address &target);
   void collect(const Address &target, const AnswerHead &head,
                const AnswerSourcePtr &source);
   void onCollected(const Address &target, const AnswerHead &head,
@@ -78,6 +83,7 @@
              const AnswerSourcePtr &source);
 
   void answerSelf(const AnswerAction &answer);
+  std::string formatRetryAfter(std::chrono::milliseconds delay) const;
   void reject(unsigned status, const std::string &reason);
   void replay(const StoredAnswer &answer);
   void settleClaim(Outcome outcome);
--- a/src/node/IngressTask.cpp
+++ b/src/node/IngressTask.cpp
@@ -39,6 +39,24 @@
   return Picked{choices[n], std::ranges::all_of(choices, &Choice::isSaturated)};
 }
 
+RetryBudget &IngressTask::budgetOf(const std::string &service) {
+  const auto it = budgets.find(service);
+  if (it != budgets.end())
+    return it->second;
+  return budgets
+      .emplace(service,
+               services.makeRetryBudget(peers.membership().presentCount()))
+      .first->second;
+}
+
+std::string IngressTask::chooseService(const ServiceRule &rule) {
+  if (rule.parts.empty())
+    return rule.name;
+  std::vector<unsigned> weights(rule.parts.size());
+  std::ranges::transform(rule.parts, weights.begin(), &WeightedService::weight);
+  return rule.parts[stateOf(rule.name).parts.next(weights)].service;
+}
+
 void IngressTask::probeAnother(const std::vector<Choice> &choices,
                                std::size_t picked) {
   std::uniform_int_distribution<std::size_t> other(0, choices.size() - 1);
--- a/src/node/IngressTask.h
+++ b/src/node/IngressTask.h
@@ -12,6 +12,7 @@
 #include "request/LatencyWindow.h"
 #include "request/PickPolicy.h"
 #include "request/RetryBudget.h"
+#include "request/WeightedRoundRobin.h"
 
 #include <map>
 #include <optional>
@@ -20,10 +21,10 @@
 
 namespace plantainhatch {
 
-/** What an ingress keeps for one service. */
-struct ServiceState {
-  RetryBudget budget;
+/** What an ingress keeps for one rule. */
+struct RuleState {
   LatencyWindow latencies;
+  WeightedRoundRobin parts;
 };
 
 /** A target that was picked. */
@@ -50,7 +51,13 @@
                              const std::string &service,
                              const std::set<Address> &tried);
 
-  ServiceState &stateOf(const std::string &service) { return states[service]; }
+  RuleState &stateOf(const std::string &rule) { return states[rule]; }
+
+  /** The budget of repeats at a service. */
+  RetryBudget &budgetOf(const std::string &service);
+
+  /** The part of a rule whose turn it is. */
+  std::string chooseService(const ServiceRule &rule);
 
   NodeServices &services;
   PeerTask &peers;
@@ -61,7 +68,8 @@
 
 private:
   AnyPickPolicy policy;
-  std::map<std::string, ServiceState> states;
+  std::map<std::string, RuleState> states;
+  std::map<std::string, RetryBudget> budgets;
 
   void probeAnother(const std::vector<Choice> &choices, std::size_t picked);
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -12,13 +12,15 @@
 } // namespace
 
 Checked<std::unique_ptr<Node>> Node::start(NodeSettings settings,
-                                           AnyPickPolicy policy) {
-  std::unique_ptr<Node> node(new Node(std::move(settings)));
+                                           AnyPickPolicy policy,
+                                           NodeSurface surface) {
+  std::unique_ptr<Node> node(
+      new Node(std::move(settings), std::move(surface.dialect)));
   auto peers = PeerTask::start(node->services);
   if (!peers)
     return std::move(peers).error();
   node->peers = std::move(peers).value();
-  node->makeTasks(policy);
+  node->makeTasks(policy, std::move(surface.builder));
   node->connectTasks();
   auto listening = node->listen();
   if (!listening)
@@ -27,14 +29,27 @@
   node->services.record(EventKind::NodeStarted, own.callers.toString(),
                         "in " + own.failureDomain + " of " + own.cluster,
                         "start of the process");
-  node->configuration->start();
-  node->seeds->start();
-  node->archive->start();
+  node->startOwnTasks();
   return node;
 }
 
-void Node::makeTasks(AnyPickPolicy policy) {
-  configuration = std::make_unique<ConfigurationTask>(services, *peers);
+void Node::startOwnTasks() {
+  seeds->start();
+  if (services.settings.site)
+    return;
+  configuration->start();
+  archive->start();
+}
+
+bool Node::isReady() const {
+  return configuration->current()->head().version > 0 &&
+         stopRequestedAt == TimePoint{};
+}
+
+void Node::makeTasks(AnyPickPolicy policy,
+                     ConfigurationKeeper::Builder builder) {
+  configuration = std::make_unique<ConfigurationTask>(services, *peers,
+                                                      std::move(builder));
   crashes = std::make_unique<CrashTask>(services, *peers, *configuration);
   gate = std::make_unique<GateTask>(services, *peers, *configuration, *crashes);
   measure = std::make_unique<MeasureTask>(services, *peers,
@@ -66,15 +81,32 @@
   configuration->onAdopted([this](const ConfigurationPtr & /*before*/) {
     measure->reshape(configuration->current()->measure());
   });
+  gate->onLoadStep([this] { tellLoad(); });
   countTimer.startRepeating(
       CountInterval, [this] { services.events.flushCounts(services.stamp()); });
 }
 
+void Node::tellLoad() {
+  const LoadReport report = gate->load();
+  for (const auto &[address, member] : peers->membership().others())
+    if (member.isPresent())
+      peers->sendBare(address, report);
+}
+
 Checked<bool> Node::listen() {
-  auto targets = AnnounceTask::start(services, *gate);
-  if (!targets)
-    return std::move(targets).error();
-  announcements = std::move(targets).value();
+  if (services.settings.site) {
+    auto server = HttpServer::listen(
+        services.settings.site->forwards, "site.forwards",
+        [this](const IncomingCallPtr &call) { serveForward(call); });
+    if (!server)
+      return std::move(server).error();
+    forwards = std::move(server).value();
+  } else {
+    auto targets = AnnounceTask::start(services, *gate);
+    if (!targets)
+      return std::move(targets).error();
+    announcements = std::move(targets).value();
+  }
   auto server =
       HttpServer::listen(services.settings.callers, "callers",
                          [this](const IncomingCallPtr &call) { serve(call); });
@@ -88,16 +120,24 @@
   const bool isStopping = stopRequestedAt != TimePoint{};
   if (isStopping)
     call->closeAfterAnswer();
-  if (call->request().target.starts_with(StatusTask::PathPrefix)) {
+  // At a site each path on this address is a caller's.
+  if (!services.settings.site && (isForwarded(call->request()) ||
+                                  call->request().target.starts_with(
+                                      StatusTask::PathPrefix))) {
+    serveForward(call);
+    return;
+  }
+  ++callsInProgress;
+  ingress->serve(call, [this] { --callsInProgress; });
+}
+
+void Node::serveForward(const IncomingCallPtr &call) {
+  if (!isForwarded(call->request())) {
     status->serve(call);
     return;
   }
   ++callsInProgress;
-  const auto onDone = [this] { --callsInProgress; };
-  if (isForwarded(call->request()))
-    serveForwardedCall(services, *gate, call, onDone);
-  else
-    ingress->serve(call, onDone);
+  serveForwardedCall(services, *gate, call, [this] { --callsInProgress; });
 }
 
 void Node::stop(std::function<void()> done) {
@@ -115,13 +155,22 @@
 }
 
 void Node::continueStop() {
-  const bool hasSettled = NodeServices::now() - stopRequestedAt >= SettleTime;
-  if (!hasSettled || callsInProgress > 0 || gate->state().wanted() > 0)
+  const auto &site = services.settings.site;
+  const Duration since = NodeServices::now() - stopRequestedAt;
+  const bool hasSettled = since >= (site ? SiteSettleTime : SettleTime);
+  const bool isOverdue = site && since >= site->stopGrace - StopMargin;
+  const bool isBusy = callsInProgress > 0 || gate->state().wanted() > 0;
+  if (!isOverdue && (!hasSettled || isBusy))
     return;
   if (!stopped)
     return;
   callers.reset();
+  forwards.reset();
   services.events.flushCounts(services.stamp());
+  if (site) {
+    std::exchange(stopped, nullptr)();
+    return;
+  }
   archive->flush([done = std::exchange(stopped, nullptr)] { done(); });
 }
 
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -15,17 +15,41 @@
 
 namespace plantainhatch {
 
+/** What differs where a platform has an interface of its own. */
+struct NodeSurface {
+  Dialect dialect = makeOwnDialect();
+  /** Reads the texts of configuration versions. */
+  ConfigurationKeeper::Builder builder = Configuration::build;
+};
+
 /** Owns all tasks of one process. Used on the main loop only. */
 class Node {
 public:
   /** How long a stopping node goes on at least, so that others have heard that
    * it leaves. */
   static constexpr std::chrono::milliseconds SettleTime{1'500};
+  /** The same at a site whose callers are told by readiness, which is asked once
+   * a second and believed at the second refusal. */
+  static constexpr std::chrono::milliseconds SiteSettleTime{2'600};
+  /** Kept back from the time until the platform ends the process. */
+  static constexpr std::chrono::milliseconds StopMargin{300};
 
   /** Opens all addresses and starts. \return the node, or what keeps it from
    * starting. */
   static Checked<std::unique_ptr<Node>> start(NodeSettings settings,
-                                              AnyPickPolicy policy);
+                                              AnyPickPolicy policy,
+                                              NodeSurface surface = {});
+
+  /** True if callers are welcome: a configuration is in force, and the node
+   * does not stop. */
+  bool isReady() const;
+
+  /** For what drives the node at a site in place of announcements, head row and
+   * status. They live as long as the node. */
+  NodeServices &shared() { return services; }
+  GateTask &gateTask() { return *gate; }
+  ConfigurationTask &configurationTask() { return *configuration; }
+  StatusTask &statusTask() { return *status; }
 
   /** Stops gracefully: takes no new work for its target, finishes what is in
    * progress, saves its events, and calls \p done. */
@@ -44,18 +68,24 @@
   std::unique_ptr<ArchiveTask> archive;
   std::unique_ptr<AnnounceTask> announcements;
   std::unique_ptr<HttpServer> callers;
+  /** Calls that other nodes forward, where they have an address of their own. */
+  std::unique_ptr<HttpServer> forwards;
   Timer countTimer;
   Timer stopTimer;
   std::size_t callsInProgress = 0;
   TimePoint stopRequestedAt;
   std::function<void()> stopped;
 
-  explicit Node(NodeSettings settings) : services(std::move(settings)) {}
+  Node(NodeSettings settings, Dialect dialect)
+      : services(std::move(settings), std::move(dialect)) {}
 
-  void makeTasks(AnyPickPolicy policy);
+  void makeTasks(AnyPickPolicy policy, ConfigurationKeeper::Builder builder);
+  void startOwnTasks();
   void connectTasks();
   Checked<bool> listen();
   void serve(const IncomingCallPtr &call);
+  void serveForward(const IncomingCallPtr &call);
+  void tellLoad();
   void continueStop();
 };
 
--- a/src/node/NodeServices.cpp
+++ b/src/node/NodeServices.cpp
@@ -4,6 +4,8 @@
 
 #include <ctime>
 
+#include <algorithm>
+
 namespace plantainhatch {
 
 namespace {
@@ -17,9 +19,10 @@
 
 } // namespace
 
-NodeServices::NodeServices(NodeSettings nodeSettings)
-    : settings(std::move(nodeSettings)), codec(settings.key),
-      session(makeHttpSession()), platform(settings.platform),
+NodeServices::NodeServices(NodeSettings nodeSettings, Dialect ownDialect)
+    : settings(std::move(nodeSettings)), dialect(std::move(ownDialect)),
+      codec(settings.key),
+      session(std::make_unique<HttpSession>()), platform(settings.platform),
       events(settings.callers.toString()), random(std::random_device()()) {}
 
 WallTime NodeServices::wallNow() {
@@ -35,6 +38,18 @@
                 std::move(cause));
 }
 
+RetryBudget NodeServices::makeRetryBudget(std::size_t nodes) const {
+  if (!settings.site)
+    return {};
+  // Each node adds its share of the calls it takes in itself, so the shares sum
+  // up to the ratio without any agreement. Calls that a repeated run makes are
+  // repeats as well, for which half of everything is kept back.
+  constexpr double KeptBack = 0.5;
+  const auto share = static_cast<double>(std::max<std::size_t>(nodes, 1));
+  return {settings.site->retryRatio * KeptBack,
+          std::max(1.0, settings.site->retryExtra * KeptBack / share)};
+}
+
 std::string NodeServices::makeId() {
   const std::unique_ptr<gchar, decltype(&g_free)> id(g_uuid_string_random(),
                                                      g_free);
--- a/src/node/NodeServices.h
+++ b/src/node/NodeServices.h
@@ -7,10 +7,13 @@
 #include "base/Settings.h"
 #include "connection/HttpSession.h"
 #include "connection/MessageCodec.h"
-#include "connection/PlatformClient.h"
+#include "platform/StoreClient.h"
 #include "process/EventLog.h"
 #include "process/Metrics.h"
+#include "request/Dialect.h"
+#include "request/RetryBudget.h"
 
+#include <memory>
 #include <random>
 #include <string>
 
@@ -20,13 +23,15 @@
  * main loop only. */
 class NodeServices {
 public:
-  explicit NodeServices(NodeSettings nodeSettings);
+  NodeServices(NodeSettings nodeSettings, Dialect dialect);
 
   const NodeSettings settings;
+  /** How callers and targets are spoken with. */
+  const Dialect dialect;
   const MessageCodec codec;
   /** Nodes and targets. */
-  const GObjectPtr<SoupSession> session;
-  PlatformClient platform;
+  const std::unique_ptr<HttpSession> session;
+  StoreClient platform;
   EventLog events;
   Metrics metrics;
   std::mt19937_64 random;
@@ -47,6 +52,10 @@
   /** A random identifier. */
   std::string makeId();
 
+  /** The retry budget of one service: this node's share where the operators set
+   * one for the fleet. */
+  RetryBudget makeRetryBudget(std::size_t nodes) const;
+
   /** The name of a table of this cluster. */
   std::string table(const std::string &name) const {
     return settings.cluster + "-" + name;
--- a/src/node/PeerTask.cpp
+++ b/src/node/PeerTask.cpp
@@ -11,7 +11,7 @@
 Member makeSelf(const NodeSettings &settings) {
   Member self;
   self.peers = settings.peers;
-  self.callers = settings.callers;
+  self.callers = settings.forwardAddress();
   self.failureDomain = settings.failureDomain;
   self.generation = static_cast<std::uint64_t>(
       NodeServices::wallNow().time_since_epoch().count());
--- a/src/node/RemoteHandOver.cpp
+++ b/src/node/RemoteHandOver.cpp
@@ -29,12 +29,13 @@
   claims.timeoutMs =
       std::to_string(timeoutToPass(handOver.deadline, services.now()).count());
   claims.gate = choice.callers.toString();
-  return {{headers::RequestId, handOver.request->id},
-          {headers::TimeoutMs, claims.timeoutMs},
+  return {{headers::NodeRequestId, handOver.request->id},
+          {headers::NodeTimeoutMs, claims.timeoutMs},
           {headers::Service, claims.service},
           {headers::Time, claims.time.toString()},
           {headers::MayQueue, handOver.mayQueue ? "1" : "0"},
-          {headers::Claimed, handOver.isClaimed ? "1" : "0"},
+          {headers::FreshConnection, handOver.needsFreshConnection ? "1" : "0"},
+          {headers::Priority, std::to_string(handOver.priority)},
           {headers::Version, std::to_string(version)},
           {headers::Proof,
            makeForwardProof(services.settings.key, *handOver.request, claims)}};
@@ -43,7 +44,8 @@
 std::optional<LoadReport> parseLoad(const std::string &text) {
   LoadReport report;
   std::istringstream stream(text);
-  stream >> report.inFlight >> report.limit >> report.latencyUs;
+  stream >> report.inFlight >> report.limit >> report.latencyUs >>
+      report.slowdownPercent >> report.isCold >> report.failurePercent;
   return stream ? std::optional(report) : std::nullopt;
 }
 
@@ -57,7 +59,7 @@
       new RemoteHandOver(services, measure, choice.peers, std::move(receiver)));
   const ExchangeOptions options{
       choice.callers, makeHeaders(services, choice, handOver, version),
-      handOver.isClaimed};
+      handOver.needsFreshConnection};
   self->exchange = Exchange::start(
       services.session.get(), *handOver.request, options,
       [self](Exchange::Result result) { self->onHead(std::move(result)); });
--- a/src/node/SeedTask.cpp
+++ b/src/node/SeedTask.cpp
@@ -32,9 +32,12 @@
   const TimePoint now = NodeServices::now();
   if (isLonely)
     joinSettings();
-  const bool isDue = now - lastReadAt >= Interval &&
+  const Duration interval =
+      services.settings.site ? Duration(SiteInterval) : Duration(Interval);
+  const bool isDue = now - lastReadAt >= interval &&
                      isChosen(peers.membership(), "seeds", RowsPerDomain);
-  if (isLonely || isDue)
+  const bool isLonelyDue = isLonely && now - lastReadAt >= lonelyInterval;
+  if (isLonelyDue || isDue)
     read();
 }
 
@@ -48,8 +51,13 @@
   services.platform.readRows(services.table(SeedTable), "", MaxRows,
                              [this](const RowsResult &result) {
                                const ControlScope scope(services.metrics);
-                               if (result.result == StoreResult::Ok)
+                               if (result.result == StoreResult::Ok) {
+                                 lonelyInterval = LonelyInterval;
                                  onRows(result.rows);
+                               } else {
+                                 lonelyInterval = std::min<Duration>(
+                                     lonelyInterval * 2, MaxLonelyInterval);
+                               }
                              });
 }
 
--- a/src/node/SeedTask.h
+++ b/src/node/SeedTask.h
@@ -26,6 +26,10 @@
   static constexpr std::chrono::milliseconds LonelyInterval{500};
   /** Otherwise, and then by the readers of each failure domain only. */
   static constexpr std::chrono::seconds Interval{5};
+  /** The same where each call to the store has a price. */
+  static constexpr std::chrono::seconds SiteInterval{30};
+  /** The longest pause while this node knows nobody and the store fails. */
+  static constexpr std::chrono::milliseconds MaxLonelyInterval{2'000};
 
   SeedTask(NodeServices &services, PeerTask &peers);
 
@@ -37,6 +41,7 @@
   PeerTask &peers;
   Timer timer;
   TimePoint lastReadAt;
+  Duration lonelyInterval = LonelyInterval;
   /** Seeds to join one after the other: the first tells of all others, after
    * which little differs, while a whole membership is large. */
   std::vector<Address> pendingJoins;
--- a/src/operator/CommandContext.h
+++ b/src/operator/CommandContext.h
@@ -4,7 +4,7 @@
 #define PLANTAINHATCH_OPERATOR_COMMANDCONTEXT_H
 
 #include "base/Settings.h"
-#include "connection/PlatformClient.h"
+#include "platform/StoreClient.h"
 #include "operator/ConfigurationStore.h"
 #include "operator/NodeClient.h"
 
@@ -36,7 +36,7 @@
 
   OperatorSettings settings;
   CommandOptions options;
-  PlatformClient platform;
+  StoreClient platform;
   ConfigurationStore store;
   NodeClient nodes;
   /** Prints data at once, for commands that do not end by themselves. */
--- a/src/operator/ConfigurationStore.cpp
+++ b/src/operator/ConfigurationStore.cpp
@@ -59,7 +59,7 @@
 } // namespace
 
 ConfigurationStore::ConfigurationStore(std::string cluster,
-                                       PlatformClient &platform)
+                                       StoreClient &platform)
     : cluster(std::move(cluster)), platform(platform) {}
 
 RowResult ConfigurationStore::readHeadRow() {
--- a/src/operator/ConfigurationStore.h
+++ b/src/operator/ConfigurationStore.h
@@ -4,7 +4,7 @@
 #ifndef PLANTAINHATCH_OPERATOR_CONFIGURATIONSTORE_H
 #define PLANTAINHATCH_OPERATOR_CONFIGURATIONSTORE_H
 
-#include "connection/PlatformClient.h"
+#include "platform/StoreClient.h"
 #include "version/Configuration.h"
 
 #include <functional>
@@ -68,7 +68,7 @@
   /** How long a lost answer is looked into. */
   static constexpr std::chrono::seconds ResolveTime{20};
 
-  ConfigurationStore(std::string cluster, PlatformClient &platform);
+  ConfigurationStore(std::string cluster, StoreClient &platform);
 
   /** The accepted version, or a finding if the store does not answer. */
   Checked<StoredConfiguration> read();
@@ -81,7 +81,7 @@
 
 private:
   std::string cluster;
-  PlatformClient &platform;
+  StoreClient &platform;
 
   Checked<ConfigurationPtr> load(const ConfigurationHead &head);
   StoreResult swap(const StoredConfiguration &from,
--- a/src/operator/NodeClient.cpp
+++ b/src/operator/NodeClient.cpp
@@ -76,7 +76,7 @@
 
 } // namespace
 
-NodeClient::NodeClient() : session(makeHttpSession()) {}
+NodeClient::NodeClient() : session(makeSoupSession()) {}
 
 std::map<Address, std::optional<json>>
 NodeClient::fetch(const std::vector<Address> &nodes, const std::string &path) {
--- a/src/operator/NodeClient.h
+++ b/src/operator/NodeClient.h
@@ -4,7 +4,7 @@
 #define PLANTAINHATCH_OPERATOR_NODECLIENT_H
 
 #include "base/Address.h"
-#include "connection/HttpSession.h"
+#include "connection/SoupSession.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/process/ConfigurationKeeper.cpp
+++ b/src/process/ConfigurationKeeper.cpp
@@ -49,7 +49,7 @@
 
 AdoptResult ConfigurationKeeper::replaceBy(const ConfigurationHead &head,
                                            std::string text) {
-  const auto built = Configuration::build(head, std::move(text));
+  const auto built = builder(head, std::move(text));
   if (!built)
     return AdoptResult::Invalid;
   const bool isNext = head.version == version() + 1;
--- a/src/process/ConfigurationKeeper.h
+++ b/src/process/ConfigurationKeeper.h
@@ -7,6 +7,7 @@
 #include "version/TextDelta.h"
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -51,7 +52,12 @@
   /** Steps kept for peers that lag. */
   static constexpr std::size_t MaxSteps = 64;
 
-  ConfigurationKeeper() : inForce(Configuration::makeEmpty()) {}
+  /** Reads a text; Configuration::build for the product's own rules. */
+  using Builder = std::function<Checked<ConfigurationPtr>(ConfigurationHead,
+                                                          std::string)>;
+
+  explicit ConfigurationKeeper(Builder builder = Configuration::build)
+      : builder(std::move(builder)), inForce(Configuration::makeEmpty()) {}
 
   /** The version in force; never null. */
   const ConfigurationPtr &current() const { return inForce; }
@@ -69,6 +75,7 @@
                                                const std::string &digest) const;
 
 private:
+  Builder builder;
   ConfigurationPtr inForce;
   std::deque<ConfigurationStep> steps;
   /** Digest of the text that the first kept step starts from. */
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -28,7 +28,10 @@
     RefusalName{Refusal::Quarantined, "quarantined"},
     RefusalName{Refusal::TargetShed, "target-shed"},
     RefusalName{Refusal::NotConnected, "not-connected"},
-    RefusalName{Refusal::Stale, "stale"}};
+    RefusalName{Refusal::Stale, "stale"},
+    RefusalName{Refusal::WrongTarget, "wrong-target"},
+    RefusalName{Refusal::ColdRate, "cold-rate"},
+    RefusalName{Refusal::Displaced, "displaced"}};
 
 } // namespace
 
@@ -87,16 +90,53 @@
   const Refusal refusal = reasonToRefuse(request, now);
   if (refusal != Refusal::None)
     return {Admission::Kind::Refused, refusal};
-  if (inFlight() < limit() && queue.empty()) {
+  if (queue.empty() && hasRoom(now)) {
     start(request, now);
-    return {Admission::Kind::Admitted, Refusal::None};
+    return {Admission::Kind::Admitted, Refusal::None, std::nullopt};
   }
-  if (!request.mayQueue || queue.size() >= limit() * QueuePerSlot)
-    return {Admission::Kind::Refused, Refusal::Full};
-  if (!canMeetDeadline(request, queue.size() + 1, now))
-    return {Admission::Kind::Refused, Refusal::DeadlineTooClose};
-  queue.push_back(request);
-  return {Admission::Kind::Queued, Refusal::None};
+  const Refusal full = isRateLimited(now) ? Refusal::ColdRate : Refusal::Full;
+  if (!request.mayQueue)
+    return {Admission::Kind::Refused, full, std::nullopt};
+  const auto ahead = std::ranges::count_if(queue, [&](const GateRequest &it) {
+    return it.priority <= request.priority;
+  });
+  if (!canMeetDeadline(request, static_cast<std::size_t>(ahead) + 1, now))
+    return {Admission::Kind::Refused, Refusal::DeadlineTooClose, std::nullopt};
+  std::optional<CallId> displaced;
+  if (queue.size() >= limit() * QueuePerSlot) {
+    displaced = displaceFor(request);
+    if (!displaced)
+      return {Admission::Kind::Refused, full, std::nullopt};
+  }
+  enqueue(request);
+  return {Admission::Kind::Queued, Refusal::None, displaced};
+}
+
+void Gate::setCold(double callsPerSecond, TimePoint until) {
+  // A second of a cold target holds its rate and this burst.
+  constexpr double Burst = 2;
+  coldUntil = until;
+  coldCalls.reshape(callsPerSecond, Burst);
+}
+
+bool Gate::hasRoom(TimePoint now) {
+  if (inFlight() >= limit())
+    return false;
+  return !isRateLimited(now) || coldCalls.tryTake(1, now);
+}
+
+std::optional<CallId> Gate::displaceFor(const GateRequest &request) {
+  if (queue.empty() || queue.back().priority <= request.priority)
+    return std::nullopt;
+  const CallId id = queue.back().id;
+  queue.pop_back();
+  return id;
+}
+
+void Gate::enqueue(const GateRequest &request) {
+  const auto it = std::ranges::upper_bound(queue, request.priority, {},
+                                           &GateRequest::priority);
+  queue.insert(it, request);
 }
 
 void Gate::answered(CallId id, TimePoint now) {
@@ -200,7 +240,7 @@
 
 std::vector<QueueResult> Gate::drainQueue(TimePoint now) {
   std::vector<QueueResult> results = expire(now);
-  while (!queue.empty() && inFlight() < limit()) {
+  while (!queue.empty() && hasRoom(now)) {
     const GateRequest request = std::move(queue.front());
     queue.pop_front();
     start(request, now);
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -4,6 +4,8 @@
 #define PLANTAINHATCH_PROCESS_GATE_H
 
 #include "base/Time.h"
+#include "base/TokenBucket.h"
+#include "process/FailureRate.h"
 #include "process/GateLimit.h"
 #include "process/Member.h"
 
@@ -35,7 +37,10 @@
   Quarantined,
   TargetShed,
   NotConnected,
-  Stale
+  Stale,
+  WrongTarget,
+  ColdRate,
+  Displaced
 };
 
 /** The name of a refusal in answers, events and metrics, such as "domain-out".
@@ -53,6 +58,8 @@
   std::string service;
   std::uint64_t fingerprint = 0;
   TimePoint deadline;
+  /** 0 is the most urgent. */
+  unsigned priority = 0;
   /** Whether the call may wait; an ingress that knows of other targets rather
    * tries those. */
   bool mayQueue = false;
@@ -73,6 +80,8 @@
   enum class Kind : std::uint8_t { Admitted, Queued, Refused };
   Kind kind = Kind::Refused;
   Refusal refusal = Refusal::None;
+  /** A less urgent call that had to leave the queue for this one. */
+  std::optional<CallId> displaced;
 };
 
 /** What became of a call that was queued. */
@@ -107,6 +116,23 @@
    * announcement it gets no more than it bears while cold. */
   void doubt() { isDoubted = true; }
 
+  /** The target bears no more than \p callsPerSecond until \p until, whatever
+   * its slots. */
+  void setCold(double callsPerSecond, TimePoint until);
+
+  /** True while setCold() holds. */
+  bool isRateLimited(TimePoint now) const { return now < coldUntil; }
+
+  /** How long work takes at the target, as it said last; 1 means as usual. */
+  void setSlowdown(double factor) { slowdownFactor = factor; }
+  double slowdown() const { return slowdownFactor; }
+
+  /** The target has given an answer that is, or is not, a failure. */
+  void noteAnswer(bool isFailure, TimePoint now) {
+    failures.onEnded(isFailure, now);
+  }
+  double failureRate(TimePoint now) const { return failures.at(now); }
+
   /** Refuse all new work from now on for this reason; None lifts it. Calls in
    * flight go on. */
   void closeFor(Refusal reason) { closedFor = reason; }
@@ -136,6 +162,9 @@
    * not admit. */
   std::vector<QueueResult> expire(TimePoint now);
 
+  /** The same, and admits queued calls that a cold target can bear by now. */
+  std::vector<QueueResult> poll(TimePoint now) { return drainQueue(now); }
+
   /** Fingerprints of the calls in flight. */
   std::vector<std::uint64_t> fingerprintsInFlight() const;
 
@@ -176,12 +205,19 @@
   Refusal closedFor = Refusal::None;
   unsigned peak = 0;
   bool isDoubted = false;
+  double slowdownFactor = 1;
+  FailureRate failures;
+  TimePoint coldUntil;
+  TokenBucket coldCalls{0, 0};
   TimePoint completedAt;
 
   Refusal reasonToRefuse(const GateRequest &request, TimePoint now) const;
   bool canMeetDeadline(const GateRequest &request, std::size_t waiting,
                        TimePoint now) const;
   void start(const GateRequest &request, TimePoint now);
+  bool hasRoom(TimePoint now);
+  std::optional<CallId> displaceFor(const GateRequest &request);
+  void enqueue(const GateRequest &request);
   std::vector<QueueResult> drainQueue(TimePoint now);
   void learn(const Call &call, GateOutcome outcome, TimePoint now);
 };
--- a/src/process/LoadTable.cpp
+++ b/src/process/LoadTable.cpp
@@ -18,6 +18,7 @@
   if (entry.sentSinceReport > 0)
     --entry.sentSinceReport;
   entry.failures = failed ? entry.failures + 1 : 0;
+  entry.failureRate.onEnded(failed, now);
   entry.usedAt = now;
 }
 
@@ -40,11 +41,17 @@
     return guess;
   const Entry &entry = it->second;
   guess.failures = entry.failures;
+  guess.failureRate = entry.failureRate.at(now);
   guess.inFlight = entry.outstanding;
   if (entry.reportedAt == TimePoint{})
     return guess;
   guess.age = now - entry.reportedAt;
   guess.latency = std::chrono::microseconds(entry.report.latencyUs);
+  guess.slowdown = entry.report.slowdownPercent / 100.0;
+  guess.isCold = entry.report.isCold;
+  if (guess.age < MaxReportAge)
+    guess.failureRate = std::max(guess.failureRate,
+                                 entry.report.failurePercent / 100.0);
   guess.limit = entry.report.limit;
   if (guess.age < MaxReportAge)
     guess.inFlight = std::max<double>(
--- a/src/process/LoadTable.h
+++ b/src/process/LoadTable.h
@@ -5,6 +5,7 @@
 
 #include "base/Address.h"
 #include "base/Time.h"
+#include "process/FailureRate.h"
 #include "process/Message.h"
 
 #include <map>
@@ -20,6 +21,12 @@
   Duration age{};
   /** Failures in a row, as seen from this node. */
   unsigned failures = 0;
+  /** How long work takes there; 1 means as usual or not known. */
+  double slowdown = 1;
+  bool isCold = false;
+  /** The share of calls that fail, the worse of what its gate says and of what
+   * this node saw. */
+  double failureRate = 0;
 };
 
 /** Loads by the peers address of the node beside the target. Reports ride on
@@ -52,6 +59,7 @@
     unsigned outstanding = 0;
     unsigned sentSinceReport = 0;
     unsigned failures = 0;
+    FailureRate failureRate;
     LoadReport report;
     TimePoint reportedAt;
     TimePoint usedAt;
--- a/src/process/Message.h
+++ b/src/process/Message.h
@@ -59,8 +59,16 @@
   std::uint16_t inFlight = 0;
   std::uint16_t limit = 0;
   std::uint32_t latencyUs = 0;
+  /** How long work takes at the moment; 100 means as usual. */
+  std::uint16_t slowdownPercent = 100;
+  /** The target bears only a little at the moment. */
+  bool isCold = false;
+  /** Of the target's last calls, those that failed. */
+  std::uint16_t failurePercent = 0;
+
   template <typename Archive> void serialize(Archive &archive) {
-    archive(sequence, inFlight, limit, latencyUs);
+    archive(sequence, inFlight, limit, latencyUs, slowdownPercent, isCold,
+            failurePercent);
   }
 };
 
--- a/src/request/CallDecision.cpp
+++ b/src/request/CallDecision.cpp
@@ -5,8 +5,9 @@
 namespace plantainhatch {
 
 CallDecision::CallDecision(bool isIdempotent, TimePoint deadline,
-                           RetryBudget &budget)
-    : isIdempotent(isIdempotent), deadline(deadline), budget(budget) {}
+                           RetryBudget &budget, unsigned attempts)
+    : isIdempotent(isIdempotent), deadline(deadline), budget(budget),
+      attempts(attempts) {}
 
 CallAction CallDecision::start() {
   budget.onCall();
@@ -16,6 +17,7 @@
 void CallDecision::onForwarded(const Address &target) {
   triedTargets.insert(target);
   pending.insert(target);
+  ++reached;
 }
 
 CallAction CallDecision::onNoChoice() {
@@ -36,12 +38,18 @@
   pending.erase(target);
   ++refusals;
   lastRefusal = refusal;
+  const bool hasReachedTarget =
+      refusal == Refusal::TargetShed || refusal == Refusal::WrongTarget;
+  if (!hasReachedTarget)
+    --reached;
   if (!pending.empty())
     return WaitAction{};
   if (now >= deadline)
     return onDeadline();
   if (refusals >= MaxRefusals || isRefusalExpected ||
-      refusal == Refusal::Quarantined)
+      refusal == Refusal::Quarantined || !mayReachAnother())
+    return refuse();
+  if (hasReachedTarget && !budget.trySpend(now))
     return refuse();
   return ForwardAction{refusals >= RefusalsBeforeQueue};
 }
@@ -58,7 +66,8 @@
   // A call that was in flight at a target's death may be the cause of it. It is
   // tried on one other target, and the quarantine decides on the rest.
   const unsigned allowed = didTargetDie ? MaxFailures - 1 : MaxFailures;
-  if (isIdempotent && failures <= allowed && budget.trySpend(now))
+  if (isIdempotent && failures <= allowed && mayReachAnother() &&
+      budget.trySpend(now))
     return ForwardAction{true};
   return AnswerAction{httpStatus::BadGateway, Outcome::Unknown,
                       "attempt-failed", std::nullopt};
@@ -68,7 +77,7 @@
   if (!isIdempotent || hasHedged || pending.size() != 1 || now >= deadline)
     return WaitAction{};
   hasHedged = true;
-  if (!budget.trySpend(now))
+  if (!mayReachAnother() || !budget.trySpend(now))
     return WaitAction{};
   return ForwardAction{false};
 }
@@ -81,8 +90,12 @@
 AnswerAction CallDecision::refuse() const {
   const unsigned status =
       hasFailed ? httpStatus::BadGateway : httpStatus::ServiceUnavailable;
+  const bool isFull = lastRefusal == Refusal::Full ||
+                      lastRefusal == Refusal::Displaced ||
+                      lastRefusal == Refusal::ColdRate ||
+                      lastRefusal == Refusal::TargetShed;
   return AnswerAction{status, outcome(), std::string(toString(lastRefusal)),
-                      RetryAfter};
+                      isFull ? RetryWhenFullAfter : RetryAfter};
 }
 
 } // namespace plantainhatch
--- a/src/request/CallDecision.h
+++ b/src/request/CallDecision.h
@@ -7,6 +7,7 @@
 #include "process/Gate.h"
 #include "request/Outcome.h"
 #include "request/RetryBudget.h"
+#include "version/Rule.h"
 
 #include <optional>
 #include <set>
@@ -28,7 +29,7 @@
   unsigned status = 0;
   Outcome outcome = Outcome::NotRun;
   std::string reason;
-  std::optional<std::chrono::seconds> retryAfter;
+  std::optional<std::chrono::milliseconds> retryAfter;
 };
 
 /** The next step for a call. */
@@ -44,10 +45,14 @@
   /** Refusals after which a gate may queue the call. */
   static constexpr unsigned RefusalsBeforeQueue = 1;
   static constexpr unsigned MaxFailures = 2;
-  static constexpr std::chrono::seconds RetryAfter{1};
+  static constexpr std::chrono::milliseconds RetryAfter{1'000};
+  /** The same where only room was lacking, which comes back soon. */
+  static constexpr std::chrono::milliseconds RetryWhenFullAfter{250};
 
-  /** \param budget outlives the decision. */
-  CallDecision(bool isIdempotent, TimePoint deadline, RetryBudget &budget);
+  /** \param budget outlives the decision. \param attempts is the most targets
+   * that may get the call. */
+  CallDecision(bool isIdempotent, TimePoint deadline, RetryBudget &budget,
+               unsigned attempts = ServiceRule::DefaultAttempts);
 
   /** The call has arrived. */
   CallAction start();
@@ -61,6 +66,8 @@
   CallAction onFailed(const Address &target, bool didTargetDie, TimePoint now);
   /** The hedging delay has passed without an answer. */
   CallAction onHedge(TimePoint now);
+  /** This target has begun to answer; the other attempts are given up. */
+  void onAnswered(const Address &target) { pending = {target}; }
   /** The deadline has passed without an answer. */
   CallAction onDeadline();
 
@@ -79,6 +86,9 @@
   bool isIdempotent;
   TimePoint deadline;
   RetryBudget &budget;
+  unsigned attempts;
+  /** Targets that got the call, or are about to. */
+  unsigned reached = 0;
   std::set<Address> triedTargets;
   std::set<Address> pending;
   unsigned refusals = 0;
@@ -92,6 +102,7 @@
   Outcome outcome() const {
     return mayHaveRun() ? Outcome::Unknown : Outcome::NotRun;
   }
+  bool mayReachAnother() const { return reached < attempts; }
   AnswerAction refuse() const;
 };
 
--- a/src/request/CallRequest.cpp
+++ b/src/request/CallRequest.cpp
@@ -97,12 +97,15 @@
 }
 
 bool isIdempotent(const CallRequest &request, const ServiceRule &rule) {
+  if (rule.isRepeatable)
+    return *rule.isRepeatable;
   return !rule.isOnce && isIdempotentMethod(request.method);
 }
 
-std::optional<std::chrono::milliseconds> timeoutOf(const CallRequest &request,
-                                                   const ServiceRule &rule) {
-  const auto value = findHeader(request.headers, headers::TimeoutMs);
+std::optional<std::chrono::milliseconds>
+timeoutOf(const CallRequest &request, const ServiceRule &rule,
+          std::string_view timeoutHeader) {
+  const auto value = findHeader(request.headers, timeoutHeader);
   if (!value)
     return rule.timeout;
   std::int64_t ms = 0;
--- a/src/request/CallRequest.h
+++ b/src/request/CallRequest.h
@@ -53,8 +53,9 @@
 
 /** The time a call has: the smaller of the rule's and the caller's.
  * \return nothing if the caller's header is not a positive number. */
-std::optional<std::chrono::milliseconds> timeoutOf(const CallRequest &request,
-                                                   const ServiceRule &rule);
+std::optional<std::chrono::milliseconds>
+timeoutOf(const CallRequest &request, const ServiceRule &rule,
+          std::string_view timeoutHeader);
 
 /** Tells requests apart that would do the same: service, method, target and
  * body. */
--- a/src/request/ClaimDecision.h
+++ b/src/request/ClaimDecision.h
@@ -48,7 +48,7 @@
 class ClaimDecision {
 public:
   static constexpr unsigned MaxInserts = 3;
-  static constexpr std::chrono::seconds RetryAfter{1};
+  static constexpr std::chrono::milliseconds RetryAfter{1'000};
 
   ClaimDecision(std::string claimId, std::string requestDigest);
 
--- /dev/null
+++ b/src/request/Dialect.cpp
@@ -0,0 +1,32 @@
+#include "request/Dialect.h"
+
+#include "request/HeaderNames.h"
+#include "request/HttpStatus.h"
+#include "request/Outcome.h"
+
+namespace plantainhatch {
+
+namespace {
+
+AnswerKind judgeOwn(unsigned status, const HeaderList &answer,
+                    const std::string & /*requestId*/) {
+  const bool isShed = status == httpStatus::ServiceUnavailable &&
+                      findHeader(answer, headers::Outcome) ==
+                          std::string(toString(Outcome::NotRun));
+  return isShed ? AnswerKind::NotRun : AnswerKind::Genuine;
+}
+
+} // namespace
+
+Dialect makeOwnDialect() {
+  Dialect dialect;
+  dialect.requestId = headers::RequestId;
+  dialect.timeoutMs = headers::TimeoutMs;
+  dialect.judge = judgeOwn;
+  dialect.readLoad = [](const HeaderList & /*answer*/) {
+    return std::optional<TargetLoad>();
+  };
+  return dialect;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/request/ExpectedEndPolicy.cpp
@@ -0,0 +1,49 @@
+#include "request/ExpectedEndPolicy.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace plantainhatch {
+
+namespace {
+
+double wayCharge(const Choice &choice) {
+  if (choice.isLocalNode)
+    return 0;
+  return choice.isLocalDomain ? ExpectedEndPolicy::HopCharge
+                              : ExpectedEndPolicy::DomainCharge;
+}
+
+/** The turns of its slots that a call would wait for there. */
+double turnsToWait(const Choice &choice) {
+  if (choice.load.limit <= 0)
+    return 1;
+  return std::max(0.0, choice.load.inFlight + 1 - choice.load.limit) /
+         choice.load.limit;
+}
+
+} // namespace
+
+double ExpectedEndPolicy::expectedEnd(const Choice &choice) {
+  const double utilization = std::min(choice.utilization(), 1.0);
+  const double stretch = 1.0 + turnsToWait(choice) +
+                         UtilizationCharge * utilization * utilization;
+  const double failures =
+      std::max(0.0, choice.load.failureRate - UsualFailureRate);
+  return choice.load.slowdown * stretch + wayCharge(choice) +
+         FailureCharge * failures + (choice.isSuspect ? SuspectCharge : 0.0) +
+         (choice.load.isCold ? ColdCharge : 0.0);
+}
+
+std::size_t ExpectedEndPolicy::pick(std::span<const Choice> choices,
+                                    std::mt19937_64 &random) {
+  std::uniform_real_distribution<double> jitter(0, Jitter);
+  std::vector<double> ends(choices.size());
+  std::ranges::transform(choices, ends.begin(), [&](const Choice &choice) {
+    return expectedEnd(choice) + jitter(random);
+  });
+  return static_cast<std::size_t>(std::ranges::min_element(ends) -
+                                  ends.begin());
+}
+
+} // namespace plantainhatch
--- a/src/request/HeaderNames.h
+++ b/src/request/HeaderNames.h
@@ -23,9 +23,17 @@
 inline constexpr const char *Service = "Plantainhatch-Node-Service";
 /** "1" if the call may wait in the gate's queue. */
 inline constexpr const char *MayQueue = "Plantainhatch-Node-May-Queue";
-/** "1" if the call is recorded as a claim, so that it goes out on a fresh
- * connection. */
-inline constexpr const char *Claimed = "Plantainhatch-Node-Claimed";
+/** "1" if the call goes out on a connection that no other call has used. */
+inline constexpr const char *FreshConnection = "Plantainhatch-Node-Fresh";
+
+/** The rank in the gate's queue; 0 goes first. */
+inline constexpr const char *Priority = "Plantainhatch-Node-Priority";
+
+/** The request's identifier and the time that is left for it, whatever callers
+ * and targets name them. */
+inline constexpr const char *NodeRequestId = "Plantainhatch-Node-Request-Id";
+inline constexpr const char *NodeTimeoutMs = "Plantainhatch-Node-Timeout-Ms";
+
 /** The sender's configuration version. */
 inline constexpr const char *Version = "Plantainhatch-Node-Version";
 /** The sender's hybrid time. */
--- a/src/request/PickPolicy.cpp
+++ b/src/request/PickPolicy.cpp
@@ -5,6 +5,8 @@
 std::optional<AnyPickPolicy> makePickPolicy(std::string_view name) {
   if (name == "hot-cold")
     return HotColdPolicy();
+  if (name == "expected-end")
+    return ExpectedEndPolicy();
   if (name == "random")
     return RandomPolicy();
   if (name == "round-robin")
--- a/src/request/PickPolicy.h
+++ b/src/request/PickPolicy.h
@@ -4,6 +4,7 @@
 #define PLANTAINHATCH_REQUEST_PICKPOLICY_H
 
 #include "request/Choice.h"
+#include "request/ExpectedEndPolicy.h"
 #include "request/HotColdPolicy.h"
 #include "request/LeastInFlightPolicy.h"
 #include "request/RandomPolicy.h"
@@ -28,15 +29,17 @@
 };
 
 static_assert(PickPolicy<HotColdPolicy>);
+static_assert(PickPolicy<ExpectedEndPolicy>);
 static_assert(PickPolicy<RandomPolicy>);
 static_assert(PickPolicy<RoundRobinPolicy>);
 static_assert(PickPolicy<LeastInFlightPolicy>);
 
 /** Any policy. */
-using AnyPickPolicy = std::variant<HotColdPolicy, RandomPolicy,
-                                   RoundRobinPolicy, LeastInFlightPolicy>;
+using AnyPickPolicy =
+    std::variant<HotColdPolicy, ExpectedEndPolicy, RandomPolicy,
+                 RoundRobinPolicy, LeastInFlightPolicy>;
 
-/** The policy of this name: "hot-cold", "random", "round-robin" or
+/** The policy of this name: "hot-cold", "expected-end", "random", "round-robin" or
  * "least-in-flight". */
 std::optional<AnyPickPolicy> makePickPolicy(std::string_view name);
 
--- a/src/request/RetryBudget.h
+++ b/src/request/RetryBudget.h
@@ -15,13 +15,20 @@
   static constexpr double TokensPerCall = 0.1;
   static constexpr double Capacity = 10;
 
+  RetryBudget() = default;
+  /** \param perCall what each call pays in. \param capacity the most that can
+   * gather. */
+  RetryBudget(double perCall, double capacity)
+      : perCall(perCall), tokens(0, capacity) {}
+
   /** A caller's call has come. */
-  void onCall() { tokens.add(TokensPerCall); }
+  void onCall() { tokens.add(perCall); }
   /** Takes what one more hand-over costs. \return false if it must not happen.
    */
   bool trySpend(TimePoint now) { return tokens.tryTake(1, now); }
 
 private:
+  double perCall = TokensPerCall;
   TokenBucket tokens{0, Capacity};
 };
 
--- a/src/version/Configuration.cpp
+++ b/src/version/Configuration.cpp
@@ -41,10 +41,33 @@
   return configuration;
 }
 
-const ServiceRule *Configuration::findService(std::string_view path) const {
+ConfigurationPtr Configuration::fromRules(ConfigurationHead head,
+                                          std::string text,
+                                          std::vector<Rule> rules,
+                                          std::vector<TargetTraits> traits) {
+  const boost::intrusive_ptr<Configuration> configuration(new Configuration);
+  configuration->versionHead = std::move(head);
+  configuration->rulesText = std::move(text);
+  for (Rule &rule : rules)
+    std::visit([&](auto &it) { configuration->addRule(std::move(it)); }, rule);
+  for (TargetTraits &it : traits)
+    configuration->targetTraits[it.service] = it;
+  configuration->sortServices();
+  return ConfigurationPtr(configuration);
+}
+
+const TargetTraits *
+Configuration::findTraits(const std::string &service) const {
+  const auto it = targetTraits.find(service);
+  return it == targetTraits.end() ? nullptr : &it->second;
+}
+
+const ServiceRule *Configuration::findService(std::string_view host,
+                                              std::string_view path) const {
   const auto it =
       std::ranges::find_if(serviceRules, [&](const ServiceRule &rule) {
-        return isPrefixAtSegmentEnd(rule.pathPrefix, path);
+        return (rule.host.empty() || rule.host == host) &&
+               isPrefixAtSegmentEnd(rule.pathPrefix, path);
       });
   return it == serviceRules.end() ? nullptr : &*it;
 }
--- a/src/version/Configuration.h
+++ b/src/version/Configuration.h
@@ -31,6 +31,12 @@
   /** Version 0: no rules at all. */
   static boost::intrusive_ptr<const Configuration> makeEmpty();
 
+  /** Builds a version from rules that were read from another form than the
+   * rules text; \p text is what \p head has the digest of. */
+  static boost::intrusive_ptr<const Configuration>
+  fromRules(ConfigurationHead head, std::string text, std::vector<Rule> rules,
+            std::vector<TargetTraits> traits);
+
   const ConfigurationHead &head() const { return versionHead; }
   const std::string &text() const { return rulesText; }
   const std::vector<ServiceRule> &services() const { return serviceRules; }
@@ -42,7 +48,16 @@
 
   /** The rule with the longest path prefix that \p path starts with at a
    * segment's end. \return nothing if no rule matches. */
-  const ServiceRule *findService(std::string_view path) const;
+  const ServiceRule *findService(std::string_view path) const {
+    return findService({}, path);
+  }
+
+  /** The same among the rules for \p host and those for any host. */
+  const ServiceRule *findService(std::string_view host,
+                                 std::string_view path) const;
+
+  /** What is known of the targets of a service; nothing if no one said. */
+  const TargetTraits *findTraits(const std::string &service) const;
 
   /** The rule that takes the failure domain out, if there is one. */
   const DomainRule *findDomainOut(const std::string &name) const;
@@ -64,6 +79,7 @@
   std::map<std::string, VmRule> vmRules;
   MeasureRule measureRule;
   std::set<std::uint64_t> allowedRequests;
+  std::map<std::string, TargetTraits> targetTraits;
 
   void addRule(ServiceRule rule) { serviceRules.push_back(std::move(rule)); }
   void addRule(DomainRule rule);
--- a/src/version/Rule.h
+++ b/src/version/Rule.h
@@ -7,8 +7,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace plantainhatch {
 
@@ -20,9 +22,17 @@
   std::string author;
 };
 
+/** A part of a rule's calls. */
+struct WeightedService {
+  std::string service;
+  /** Its share is its weight among those of all parts. */
+  unsigned weight = 1;
+};
+
 /** Which calls belong to a service, and how they may be run. */
 struct ServiceRule {
   static constexpr std::chrono::milliseconds DefaultTimeout{10'000};
+  static constexpr unsigned DefaultAttempts = 3;
 
   RuleOrigin origin;
   std::string name;
@@ -33,6 +43,16 @@
    */
   std::string keyHeader;
   std::chrono::milliseconds timeout = DefaultTimeout;
+  /** The host that callers name; any if empty. */
+  std::string host;
+  /** Whether calls may be run again; by method and isOnce if not set. */
+  std::optional<bool> isRepeatable;
+  /** The most targets that one call may be handed to. */
+  unsigned attempts = DefaultAttempts;
+  /** The rank at every queue; 0 goes first. */
+  unsigned priority = 0;
+  /** Services that share the calls by weight; the rule's own if empty. */
+  std::vector<WeightedService> parts;
 
   /** True if calls are recorded in the platform's table before they run. */
   bool needsClaim() const { return isOnce && !keyHeader.empty(); }
@@ -69,6 +89,17 @@
   std::uint64_t fingerprint = 0;
 };
 
+/** What is known of all targets of a service before they announce themselves.
+ */
+struct TargetTraits {
+  std::string service;
+  /** Calls a second that a cold target bears. */
+  double coldCallsPerSecond = 0;
+  /** Where a target answers whether it is well. */
+  std::string healthPath;
+  unsigned connections = 0;
+};
+
 /** Any rule. */
 using Rule =
     std::variant<ServiceRule, DomainRule, VmRule, MeasureRule, AllowRule>;
--- a/test/fault/ChangeMatrixTest.cpp
+++ b/test/fault/ChangeMatrixTest.cpp
@@ -125,7 +125,7 @@
     if (step == Step::BeforeSwap)
       fleet.setPlatform({{"mode", "late"},
                          {"delayMs", FaultDelay.count()},
-                         {"only", "/transactions"}});
+                         {"only", "/rows-tx"}});
     else
       fleet.setPlatform({{"mode", step == Step::AfterSwap ? "slow" : "late"},
                          {"delayMs", HoldTime.count()}});
--- a/test/fault/GivenUpCallsTest.cpp
+++ b/test/fault/GivenUpCallsTest.cpp
@@ -20,7 +20,7 @@
 public:
   HeedlessServer()
       : server(SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, nullptr))),
-        session(makeHttpSession()) {
+        session(makeSoupSession()) {
     const Address address = freeAddress();
     const auto local = toSocketAddress(address);
     soup_server_listen(server.get(), local.get(),
--- a/test/fault/PlatformOutageTest.cpp
+++ b/test/fault/PlatformOutageTest.cpp
@@ -70,7 +70,7 @@
   Fleet fleet(makePlan(1, 2));
   CHECK(fleet.start());
   const auto head =
-      fleet.http.get(fleet.platform, "/v1/tables/test-config/rows/head");
+      fleet.http.get(fleet.platform, "/standin/row?table=test-config&key=head");
   const auto moved =
       fleet.command({"domain", "out", "domain-9", "--who", "Night shift"});
   CHECK_EQUAL(
@@ -81,7 +81,7 @@
           .dump());
   CHECK(Fleet::waitUntil([&] {
     const auto row =
-        fleet.http.get(fleet.platform, "/v1/tables/test-config/rows/head");
+        fleet.http.get(fleet.platform, "/standin/row?table=test-config&key=head");
     return json::parse(row.body).value("version", 0) == 2;
   }));
   for (std::size_t n = 0; n < fleet.vms.size(); ++n)
--- a/test/standins/Caller.cpp
+++ b/test/standins/Caller.cpp
@@ -66,7 +66,7 @@
 };
 
 Caller::Caller(CallerOptions newOptions)
-    : options(std::move(newOptions)), session(makeHttpSession()),
+    : options(std::move(newOptions)), session(makeSoupSession()),
       random(options.seed) {}
 
 CallerReport Caller::run() {
--- a/test/standins/Caller.h
+++ b/test/standins/Caller.h
@@ -5,7 +5,7 @@
 
 #include "base/Address.h"
 #include "base/Time.h"
-#include "connection/HttpSession.h"
+#include "connection/SoupSession.h"
 
 #include <nlohmann/json.hpp>
 
--- a/test/standins/Platform.cpp
+++ b/test/standins/Platform.cpp
@@ -1,16 +1,20 @@
 #include "standins/Platform.h"
 
-#include "connection/Timer.h"
-
 #include <glib.h>
 
+#include <algorithm>
+#include <array>
+#include <set>
+
 namespace plantainhatch::test {
 
 namespace {
 
 using nlohmann::json;
 
-const std::string Tables = "/v1/tables/";
+constexpr std::size_t MaxEntries = 100;
+constexpr std::size_t MaxRows = 500;
+constexpr std::size_t MaxNameBytes = 200;
 
 std::string unescape(const std::string &text) {
   const std::unique_ptr<gchar, decltype(&g_free)> plain(
@@ -19,11 +23,50 @@
 }
 
 std::string parameter(const std::string &target, const std::string &name) {
-  const auto at = target.find(name + "=");
-  if (target.find('?') == std::string::npos || at == std::string::npos)
+  std::string query = target.substr(std::min(target.find('?'), target.size()));
+  if (!query.empty())
+    query.front() = '&';
+  const auto at = query.find("&" + name + "=");
+  if (at == std::string::npos)
     return {};
-  const auto start = at + name.size() + 1;
-  return unescape(target.substr(start, target.find('&', start) - start));
+  const auto start = at + name.size() + 2;
+  return unescape(query.substr(start, query.find('&', start) - start));
+}
+
+std::uint64_t number(const std::string &target, const std::string &name,
+                     std::uint64_t otherwise) {
+  const std::string text = parameter(target, name);
+  return text.empty() ? otherwise : std::stoull(text);
+}
+
+json makeRow(const std::string &table, const std::string &part,
+             const std::string &key) {
+  return {{"table", table}, {"part", part}, {"key", key}};
+}
+
+std::string encodeValue(const std::string &value) {
+  const std::unique_ptr<gchar, decltype(&g_free)> text(
+      g_base64_encode(reinterpret_cast<const guchar *>(value.data()),
+                      value.size()),
+      g_free);
+  return text.get();
+}
+
+std::string decodeValue(const std::string &text) {
+  gsize n = 0;
+  const std::unique_ptr<guchar, decltype(&g_free)> value(
+      g_base64_decode(text.c_str(), &n), g_free);
+  return {reinterpret_cast<const char *>(value.get()), n};
+}
+
+/** Whether an entry of a transaction has the shape that the protocol asks. */
+bool isEntry(const json &entry, const std::string &part) {
+  const auto isText = [&](const char *name) {
+    return entry.contains(name) && entry[name].is_string() &&
+           entry[name].get_ref<const std::string &>().size() <= MaxNameBytes;
+  };
+  return entry.is_object() && isText("table") && isText("part") &&
+         isText("key") && entry["part"] == part;
 }
 
 } // namespace
@@ -65,27 +108,38 @@
 bool Platform::isHeld(const CallRequest &request) const {
   return heldPart.empty() ||
          (request.method != "GET" &&
-          request.target.find(heldPart) != std::string::npos);
+          (request.target + request.body).find(heldPart) != std::string::npos);
 }
 
 void Platform::countArrival(const CallRequest &request) {
   const std::string path(request.path());
-  static const std::string Suffix = "/transactions";
-  if (path.starts_with(Tables) && path.ends_with(Suffix))
-    ++arrivals[unescape(path.substr(Tables.size(), path.size() - Tables.size() -
-                                                       Suffix.size()))];
+  if (path == "/rows-tx") {
+    const json order = json::parse(request.body, nullptr, false);
+    std::set<std::string> names;
+    for (const char *const list : {"expected", "writes", "remove"})
+      if (order.is_object() && order.contains(list))
+        for (const json &entry : order[list])
+          names.insert(entry.value("table", ""));
+    for (const std::string &name : names)
+      ++arrivals[name];
+  }
   if (request.method == "PUT")
     ++arrivals["objects" +
                path.substr(path.rfind('/'), path.rfind('-') - path.rfind('/'))];
 }
 
 void Platform::carryOut(const IncomingCallPtr &call) {
-  static const std::string Objects = "/v1/objects/";
   const std::string path(call->request().path());
-  if (path.starts_with(Tables))
-    serveTable(call, path.substr(Tables.size()));
-  else if (path.starts_with(Objects))
-    serveObject(call, unescape(path.substr(Objects.size())));
+  if (path == "/rows-tx")
+    transact(call);
+  else if (path == "/rows-get")
+    readRows(call);
+  else if (path == "/rows-parts")
+    listParts(call);
+  else if (path == "/rows-feed")
+    follow(call);
+  else if (path.starts_with("/blob-"))
+    serveObject(call, path);
   else
     call->reply(404, {}, "no such path\n");
 }
@@ -100,11 +154,18 @@
                     .dump());
     return;
   }
+  if (call->request().path() == "/standin/row") {
+    const std::string &target = call->request().target;
+    const Table &table = tables[parameter(target, "table")];
+    const auto it = table.find({"", parameter(target, "key")});
+    if (it == table.end())
+      call->reply(404, {}, "no such row\n");
+    else
+      call->reply(200, {}, it->second.value);
+    return;
+  }
   if (call->request().path() == "/standin/set-row") {
-    const json order = json::parse(call->request().body, nullptr, false);
-    tables[order.at("table")][order.at("key")] = {order.at("value"),
-                                                  std::to_string(nextTag++)};
-    call->reply(200, {}, "{}");
+    setRow(call);
     return;
   }
   const json order = json::parse(call->request().body, nullptr, false);
@@ -116,83 +177,197 @@
   delay = std::chrono::milliseconds(order.value("delayMs", 0));
   losses = order.value("losses", -1);
   heldPart = order.value("only", "");
+  if (order.value("dropHistory", false)) {
+    history.clear();
+    historyStart = version;
+  }
   call->reply(200, {}, "{}");
 }
 
-void Platform::serveTable(const IncomingCallPtr &call,
-                          const std::string &path) {
-  const auto slash = path.find('/');
-  const std::string rest =
-      slash == std::string::npos ? "" : path.substr(slash + 1);
-  Table &table = tables[unescape(path.substr(0, slash))];
-  if (rest == "transactions" && call->request().method == "POST") {
-    transact(call, table);
-  } else if (rest == "rows") {
-    listRows(call, table);
-  } else if (rest.starts_with("rows/")) {
-    ++reads;
-    const auto it = table.find(unescape(rest.substr(5)));
-    if (it == table.end())
-      answer(call, 404, {}, "no such row\n", false);
-    else
-      answer(call, 200, {{"ETag", it->second.etag}}, it->second.value, false);
-  } else {
-    call->reply(404, {}, "no such path\n");
-  }
+void Platform::setRow(const IncomingCallPtr &call) {
+  const json order = json::parse(call->request().body, nullptr, false);
+  ++version;
+  write(order.at("table"), "", order.at("key"),
+        order.contains("value")
+            ? std::optional(order["value"].get<std::string>())
+            : std::nullopt);
+  wakeFollowers();
+  call->reply(200, {}, "{}");
 }
 
-void Platform::listRows(const IncomingCallPtr &call, const Table &table) {
+json Platform::stamped(json answer) const {
+  answer["version_number"] = version;
+  answer["now_ms"] = g_get_monotonic_time() / G_TIME_SPAN_MILLISECOND;
+  return answer;
+}
+
+void Platform::readRows(const IncomingCallPtr &call) {
   ++reads;
   const std::string &target = call->request().target;
-  const std::string prefix = parameter(target, "prefix");
-  const std::string limitText = parameter(target, "limit");
+  const std::string name = parameter(target, "table");
+  const std::string part = parameter(target, "part");
+  const std::string from = parameter(target, "from");
+  const std::string end = parameter(target, "target");
   const std::size_t limit =
-      limitText.empty() ? table.size() : std::stoul(limitText);
+      std::min<std::size_t>(number(target, "limit", MaxRows), MaxRows);
+  const Table &table = tables[name];
   json rows = json::array();
-  for (auto it = table.lower_bound(prefix);
-       it != table.end() && it->first.starts_with(prefix) &&
-       rows.size() < limit;
-       ++it)
-    rows.push_back({{"key", it->first},
-                    {"etag", it->second.etag},
-                    {"value", it->second.value}});
-  answer(call, 200, {}, json{{"rows", rows}}.dump(), false);
+  auto it = table.lower_bound({part, from});
+  const auto isInRange = [&] {
+    return it != table.end() && it->first.first == part &&
+           (end.empty() || it->first.second < end);
+  };
+  for (; isInRange() && rows.size() < limit; ++it) {
+    json row = makeRow(name, part, it->first.second);
+    row["value"] = encodeValue(it->second.value);
+    row["version_number"] = it->second.version;
+    rows.push_back(std::move(row));
+  }
+  const json body = stamped({{"rows", rows}, {"has_more", isInRange()}});
+  answer(call, 200, {}, body.dump(), false);
 }
 
-void Platform::transact(const IncomingCallPtr &call, Table &table) {
-  ++writes;
-  const json order = json::parse(call->request().body, nullptr, false);
-  if (!order.is_object()) {
-    call->reply(400, {}, "not JSON\n");
+void Platform::listParts(const IncomingCallPtr &call) {
+  ++reads;
+  const std::string name = parameter(call->request().target, "table");
+  std::set<std::string> parts;
+  for (const auto &[place, row] : tables[name])
+    parts.insert(place.first);
+  answer(call, 200, {},
+         stamped({{"parts", parts}, {"has_more", false}}).dump(), false);
+}
+
+void Platform::follow(const IncomingCallPtr &call) {
+  ++reads;
+  const std::string &target = call->request().target;
+  Follower follower{call, parameter(target, "table"),
+                    number(target, "after", 0), std::make_unique<Timer>()};
+  if (follower.after < historyStart) {
+    answer(call, 410, {}, "{}", false);
+    return;
+  }
+  if (tellChanges(follower, false))
     return;
+  const std::chrono::milliseconds wait(number(target, "wait_ms", 0));
+  followers.push_back(std::move(follower));
+  const auto it = std::prev(followers.end());
+  call->onGone([this, raw = call.get()] {
+    std::erase_if(followers,
+                  [&](const Follower &f) { return f.call.get() == raw; });
+  });
+  it->timer->startOnce(wait, [this, raw = call.get()] {
+    const auto found = std::ranges::find_if(
+        followers, [&](const Follower &f) { return f.call.get() == raw; });
+    Follower ended = std::move(*found);
+    followers.erase(found);
+    tellChanges(ended, true);
+  });
+}
+
+bool Platform::tellChanges(const Follower &follower, bool isWaitOver) {
+  json rows = json::array();
+  for (const Change &change : history) {
+    if (change.table != follower.table || change.version <= follower.after)
+      continue;
+    json row = makeRow(change.table, change.part, change.key);
+    row["version_number"] = change.version;
+    if (change.value)
+      row["value"] = encodeValue(*change.value);
+    else
+      row["tombstone"] = true;
+    rows.push_back(std::move(row));
   }
+  if (rows.empty() && !isWaitOver)
+    return false;
+  follower.call->onGone(nullptr);
+  answer(follower.call, 200, {}, stamped({{"rows", rows}}).dump(), false);
+  return true;
+}
+
+void Platform::wakeFollowers() {
+  std::erase_if(followers, [this](const Follower &follower) {
+    return tellChanges(follower, false);
+  });
+}
+
+json Platform::findConflicts(const json &expected) const {
   json conflicts = json::array();
-  for (const json &check : order.value("checks", json::array())) {
-    const auto it = table.find(check.at("key").get<std::string>());
-    const json etag = it == table.end() ? json() : json(it->second.etag);
-    if (etag != check.at("etag"))
-      conflicts.push_back(check.at("key"));
+  for (const json &check : expected) {
+    std::uint64_t present = 0;
+    const auto table = tables.find(check.at("table"));
+    if (table != tables.end()) {
+      const auto it = table->second.find({check.at("part"), check.at("key")});
+      present = it == table->second.end() ? 0 : it->second.version;
+    }
+    if (present == check.at("version_number").get<std::uint64_t>())
+      continue;
+    json row = check;
+    row["version_number"] = present;
+    conflicts.push_back(std::move(row));
   }
-  if (!conflicts.empty()) {
-    answer(call, 409, {}, json{{"conflicts", conflicts}}.dump(), true);
+  return conflicts;
+}
+
+void Platform::write(const std::string &table, const std::string &part,
+                     const std::string &key,
+                     std::optional<std::string> value) {
+  if (value)
+    tables[table][{part, key}] = {*value, version};
+  else
+    tables[table].erase({part, key});
+  history.push_back({version, table, part, key, std::move(value)});
+}
+
+void Platform::transact(const IncomingCallPtr &call) {
+  ++writes;
+  const json order = json::parse(call->request().body, nullptr, false);
+  const auto list = [&](const char *name) {
+    return order.is_object() ? order.value(name, json::array()) : json::array();
+  };
+  const json expected = list("expected");
+  const json writeList = list("writes");
+  const json removeList = list("remove");
+  const std::size_t n = expected.size() + writeList.size() + removeList.size();
+  std::string part;
+  for (const json *const entries : {&removeList, &writeList, &expected})
+    if (!entries->empty())
+      part = entries->front().value("part", "");
+  const bool isSound =
+      n > 0 && n <= MaxEntries &&
+      std::ranges::all_of(std::array{&expected, &writeList, &removeList},
+                          [&](const json *entries) {
+                            return std::ranges::all_of(
+                                *entries, [&](const json &entry) {
+                                  return isEntry(entry, part);
+                                });
+                          });
+  if (!isSound) {
+    call->reply(400, {}, "not a transaction\n");
     return;
   }
-  json etags = json::object();
-  for (const json &put : order.value("puts", json::array())) {
-    const std::string key = put.at("key");
-    table[key] = {put.at("value").get<std::string>(),
-                  std::to_string(nextTag++)};
-    etags[key] = table[key].etag;
+  const json conflicts = findConflicts(expected);
+  if (!conflicts.empty()) {
+    answer(call, 412, {}, stamped({{"rows", conflicts}}).dump(), true);
+    return;
   }
-  for (const json &key : order.value("deletes", json::array()))
-    table.erase(key.get<std::string>());
-  answer(call, 200, {}, json{{"etags", etags}}.dump(), true);
+  ++version;
+  for (const json &entry : writeList)
+    write(entry.at("table"), part, entry.at("key"),
+          decodeValue(entry.at("value")));
+  for (const json &entry : removeList)
+    write(entry.at("table"), part, entry.at("key"), std::nullopt);
+  answer(call, 200, {}, stamped(json::object()).dump(), true);
+  wakeFollowers();
 }
 
 void Platform::serveObject(const IncomingCallPtr &call,
-                           const std::string &name) {
+                           const std::string &path) {
+  const auto slash = path.find('/', 1);
+  const std::string verb = path.substr(0, slash);
+  const std::string name =
+      slash == std::string::npos ? "" : unescape(path.substr(slash + 1));
   const auto it = objects.find(name);
-  if (call->request().method == "PUT") {
+  if (verb == "/blob-put" && call->request().method == "PUT") {
     ++writes;
     if (it != objects.end() &&
         findHeader(call->request().headers, "If-None-Match")) {
@@ -204,7 +379,7 @@
     return;
   }
   ++reads;
-  if (it == objects.end())
+  if (verb != "/blob-get" || it == objects.end())
     answer(call, 404, {}, "no such object\n", false);
   else
     answer(call, 200, {}, it->second, false);
--- a/test/standins/Platform.h
+++ b/test/standins/Platform.h
@@ -4,18 +4,23 @@
 #define PLANTAINHATCH_TEST_STANDINS_PLATFORM_H
 
 #include "connection/HttpServer.h"
+#include "connection/Timer.h"
 
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace plantainhatch::test {
 
-/** Tables with tags and transactions, and objects, all in memory. Faults are
- * switched on by POST /standin/control {"mode": "up" | "down" | "slow" |
+/** Rows with versions, transactions, a feed of changes, and objects, all in
+ * memory. Faults are switched on by POST /standin/control {"mode": "up" | "down" | "slow" |
  * "late" | "lose"}: "lose" carries writes out and closes the connection instead
  * of answering; "slow" answers "delayMs" after it has carried out; "late"
  * carries out that much later. */
@@ -28,14 +33,33 @@
 private:
   struct StoredRow {
     std::string value;
-    std::string etag;
+    std::uint64_t version = 0;
+  };
+  /** Rows by part and key. */
+  using Table = std::map<std::pair<std::string, std::string>, StoredRow>;
+  /** A change that feeds return; \c value is empty for a removed row. */
+  struct Change {
+    std::uint64_t version = 0;
+    std::string table;
+    std::string part;
+    std::string key;
+    std::optional<std::string> value;
+  };
+  struct Follower {
+    IncomingCallPtr call;
+    std::string table;
+    std::uint64_t after = 0;
+    std::unique_ptr<Timer> timer;
   };
-  using Table = std::map<std::string, StoredRow>;
 
   std::unique_ptr<HttpServer> server;
   std::map<std::string, Table> tables;
   std::map<std::string, std::string> objects;
-  std::uint64_t nextTag = 1;
+  std::vector<Change> history;
+  /** Changes up to this version have been dropped. */
+  std::uint64_t historyStart = 0;
+  std::list<Follower> followers;
+  std::uint64_t version = 0;
   std::string mode = "up";
   std::chrono::milliseconds delay{0};
   /** If not empty, "late" is for writes with this in their path only. */
@@ -55,10 +79,19 @@
   bool isHeld(const CallRequest &request) const;
   void countArrival(const CallRequest &request);
   void control(const IncomingCallPtr &call);
-  void serveTable(const IncomingCallPtr &call, const std::string &path);
-  void serveObject(const IncomingCallPtr &call, const std::string &name);
-  void listRows(const IncomingCallPtr &call, const Table &table);
-  void transact(const IncomingCallPtr &call, Table &table);
+  void setRow(const IncomingCallPtr &call);
+  void readRows(const IncomingCallPtr &call);
+  void listParts(const IncomingCallPtr &call);
+  void follow(const IncomingCallPtr &call);
+  /** Answers followers that have something to hear. */
+  void wakeFollowers();
+  bool tellChanges(const Follower &follower, bool isWaitOver);
+  void transact(const IncomingCallPtr &call);
+  nlohmann::json findConflicts(const nlohmann::json &expected) const;
+  void write(const std::string &table, const std::string &part,
+             const std::string &key, std::optional<std::string> value);
+  void serveObject(const IncomingCallPtr &call, const std::string &path);
+  nlohmann::json stamped(nlohmann::json answer) const;
   void answer(const IncomingCallPtr &call, unsigned status,
               const HeaderList &headers, const std::string &body, bool isWrite);
   bool mustLose(bool isWrite);
--- a/test/standins/Target.cpp
+++ b/test/standins/Target.cpp
@@ -52,7 +52,7 @@
 }
 
 Target::Target(TargetOptions newOptions)
-    : options(std::move(newOptions)), session(makeHttpSession()),
+    : options(std::move(newOptions)), session(makeSoupSession()),
       bootId(makeBootId()), random(options.seed) {}
 
 void Target::drain(std::function<void()> done) {
--- a/test/standins/Target.h
+++ b/test/standins/Target.h
@@ -4,7 +4,7 @@
 #define PLANTAINHATCH_TEST_STANDINS_TARGET_H
 
 #include "connection/HttpServer.h"
-#include "connection/HttpSession.h"
+#include "connection/SoupSession.h"
 #include "connection/Timer.h"
 
 #include <nlohmann/json.hpp>
--- a/test/support/HttpClient.cpp
+++ b/test/support/HttpClient.cpp
@@ -37,7 +37,7 @@
   return findHeader(headers, name).value_or("");
 }
 
-HttpClient::HttpClient() : session(makeHttpSession()) {}
+HttpClient::HttpClient() : session(makeSoupSession()) {}
 
 HttpAnswer HttpClient::send(const Address &address, const std::string &method,
                             const std::string &target,
--- a/test/support/HttpClient.h
+++ b/test/support/HttpClient.h
@@ -4,7 +4,7 @@
 #define PLANTAINHATCH_TEST_SUPPORT_HTTPCLIENT_H
 
 #include "base/Address.h"
-#include "connection/HttpSession.h"
+#include "connection/SoupSession.h"
 #include "request/CallRequest.h"
 
 #include <functional>
