Take nothing in once a stopping node has settled

Ruled out: the targets, which were at work.

Now calls that come after the settling time are refused with not-run, and what was taken in before has the rest of the grace to end.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,6 +1,9 @@
 #include "node/Node.h"
 
 #include "node/ForwardedCall.h"
+#include "request/HeaderNames.h"
+#include "request/HttpStatus.h"
+#include "request/Outcome.h"
 
 namespace plantainhatch {
 
@@ -127,6 +130,14 @@
     serveForward(call);
     return;
   }
+  if (services.settings.site && isPastSettling()) {
+    // What is taken in now might not end before the platform ends the process.
+    call->reply(httpStatus::ServiceUnavailable,
+                {{headers::Outcome, std::string(toString(Outcome::NotRun))},
+                 {headers::RetryAfter, "1"}},
+                "node-stopping\n");
+    return;
+  }
   ++callsInProgress;
   ingress->serve(call, [this] { --callsInProgress; });
 }
@@ -154,13 +165,20 @@
   stopTimer.startRepeating(StopTick, [this] { continueStop(); });
 }
 
+bool Node::isPastSettling() const {
+  if (stopRequestedAt == TimePoint{})
+    return false;
+  const Duration settling =
+      services.settings.site ? SiteSettleTime : SettleTime;
+  return NodeServices::now() - stopRequestedAt >= settling;
+}
+
 void Node::continueStop() {
   const auto &site = services.settings.site;
   const Duration since = NodeServices::now() - stopRequestedAt;
-  const bool hasSettled = since >= (site ? SiteSettleTime : SettleTime);
   const bool isOverdue = site && since >= site->stopGrace - StopMargin;
   const bool isBusy = callsInProgress > 0 || gate->state().wanted() > 0;
-  if (!isOverdue && (!hasSettled || isBusy))
+  if (!isOverdue && (!isPastSettling() || isBusy))
     return;
   if (!stopped)
     return;
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -86,6 +86,7 @@
   void serve(const IncomingCallPtr &call);
   void serveForward(const IncomingCallPtr &call);
   void tellLoad();
+  bool isPastSettling() const;
   void continueStop();
 };
 
