--- a/src/connection/StreamSocket.cpp
+++ b/src/connection/StreamSocket.cpp
@@ -122,8 +122,8 @@
 void StreamSocket::updateEvents() {
   if (!isWatched)
     return;
-  const std::uint32_t in = isReading ? EPOLLIN : 0;
-  const std::uint32_t out = hasQueued() ? EPOLLOUT : 0;
+  const std::uint32_t in = isReading ? std::uint32_t{EPOLLIN} : 0;
+  const std::uint32_t out = hasQueued() ? std::uint32_t{EPOLLOUT} : 0;
   Reactor::instance().modify(fd, baseEvents | in | out);
 }
 
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -24,7 +24,7 @@
   const TimePoint now = NodeServices::now();
   const GateRequest asked{nextId++,         request.service,
                           request.fingerprint, request.deadline,
-                          request.priority, request.mayQueue};
+                          request.mayQueue, request.priority};
   const bool isQuarantined = crashes.isQuarantined(request.fingerprint);
   GateCallPtr call(
       new GateCall(*this, asked.id, std::move(request), std::move(receiver)));
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -58,11 +58,11 @@
   std::string service;
   std::uint64_t fingerprint = 0;
   TimePoint deadline;
-  /** 0 is the most urgent. */
-  unsigned priority = 0;
   /** Whether the call may wait; an ingress that knows of other targets rather
    * tries those. */
   bool mayQueue = false;
+  /** 0 is the most urgent. */
+  unsigned priority = 0;
 };
 
 /** How a call ended at the target. */
--- a/test/fault/GivenUpCallsTest.cpp
+++ b/test/fault/GivenUpCallsTest.cpp
@@ -3,6 +3,7 @@
  */
 #include "connection/Exchange.h"
 #include "connection/PeerSocket.h"
+#include "connection/SoupSession.h"
 #include "operator/MainLoop.h"
 #include "support/FaultFixture.h"
 
@@ -19,8 +20,7 @@
 class HeedlessServer {
 public:
   HeedlessServer()
-      : server(SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, nullptr))),
-        session(makeSoupSession()) {
+      : server(SOUP_SERVER(g_object_new(SOUP_TYPE_SERVER, nullptr))) {
     const Address address = freeAddress();
     const auto local = toSocketAddress(address);
     soup_server_listen(server.get(), local.get(),
@@ -30,7 +30,7 @@
     request.method = "GET";
     request.target = "/";
     exchange =
-        Exchange::start(session.get(), request, {address, {}, false},
+        Exchange::start(&session, request, {address, {}, false},
                         [this](const Exchange::Result &) { hasHead = true; });
     CHECK(Fleet::waitUntil([this] { return message != nullptr; }));
   }
@@ -61,7 +61,7 @@
 
 private:
   GObjectPtr<SoupServer> server;
-  GObjectPtr<SoupSession> session;
+  HttpSession session;
   GObjectPtr<SoupServerMessage> message;
   boost::intrusive_ptr<Exchange> exchange;
 
