--- a/apps/plantainhatch/main.cpp
+++ b/apps/plantainhatch/main.cpp
@@ -1,11 +1,14 @@
 /** \file
  * The operators' program: reads settings and runs one command. */
+#include "operator/explainRequest.h"
 #include "operator/runCommand.h"
 
 #include <glog/logging.h>
 #include <popt.h>
 
+#include <fstream>
 #include <iostream>
+#include <list>
 #include <memory>
 
 namespace {
@@ -51,6 +54,21 @@
   return {ExitCode::Usage, {}, message + "\n"};
 }
 
+CommandResult explain(const std::vector<std::string> &words) {
+  if (words.size() < 2)
+    return usage("usage: explain REQUEST [LOG...]");
+  std::list<std::ifstream> files;
+  std::vector<std::istream *> logs;
+  for (std::size_t n = 2; n < words.size(); ++n) {
+    if (!files.emplace_back(words[n]).is_open())
+      return usage(words[n] + ": cannot be read");
+    logs.push_back(&files.back());
+  }
+  if (logs.empty())
+    logs.push_back(&std::cin);
+  return explainRequest(words[1], logs);
+}
+
 CommandResult run(const Arguments &arguments,
                   const std::vector<std::string> &words) {
   if (words.empty())
@@ -58,6 +76,9 @@
   // Rules are checked without any cluster.
   if (words.front() == "check" && words.size() == 2)
     return checkRules(words[1]);
+  // Logs are read without any cluster, too.
+  if (words.front() == "explain")
+    return explain(words);
   if (arguments.settings == nullptr)
     return usage("--settings is missing; --help tells more");
   auto settings = readOperatorSettings(arguments.settings);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -6,6 +6,7 @@
 #include "base/Address.h"
 #include "base/Finding.h"
 
+#include <cassert>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -13,8 +14,8 @@
 
 namespace plantainhatch {
 
-/** How a node fits into a site whose platform has its own interface for callers,
- * targets and operators. Immutable once read. */
+/** How a node fits into a site whose platform has its own interface for
+ * callers, targets and operators. Immutable once read. */
 struct SiteSettings {
   /** Calls that other nodes forward. */
   Address forwards;
@@ -58,6 +59,12 @@
   /** Set where a platform with an interface of its own drives the node. */
   std::optional<SiteSettings> site;
 
+  /** \pre The node is at a site. */
+  const SiteSettings &requireSite() const {
+    assert(site.has_value() && "only nodes at a site have its settings");
+    return *site;
+  }
+
   /** Where other nodes reach this one with calls. */
   const Address &forwardAddress() const {
     return site ? site->forwards : callers;
--- a/src/connection/Exchange.cpp
+++ b/src/connection/Exchange.cpp
@@ -18,10 +18,9 @@
   std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
   if (!findHeader(request.headers, "Host"))
     text += "Host: " + options.address.toString() + "\r\n";
-  for (const HeaderList *const list :
-       {&request.headers, &options.extraHeaders})
+  for (const HeaderList *const list : {&request.headers, &options.extraHeaders})
     for (const auto &[name, value] : *list)
-      text += name + ": " + value + "\r\n";
+      text.append(name).append(": ").append(value).append("\r\n");
   if (!request.body.empty() || !isSafeMethod(request.method))
     text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   return text + "\r\n" + request.body;
@@ -181,8 +180,7 @@
 
 void Exchange::deliverChunk() {
   const ExchangePtr self(this);
-  const bool isComplete =
-      reader.state() == HttpMessageReader::State::Complete;
+  const bool isComplete = reader.state() == HttpMessageReader::State::Complete;
   if (reader.body.empty() && !isComplete && failure.empty())
     return;
   const auto receiver = std::exchange(chunkReceiver, nullptr);
@@ -223,10 +221,10 @@
 
 void Exchange::giveUp(Action over) {
   const ExchangePtr self(this);
-  const bool isAtPeer =
-      (state == State::Sent || state == State::Answered) && failure.empty() &&
-      reader.state() != HttpMessageReader::State::Complete &&
-      socket.closeSending();
+  const bool isAtPeer = (state == State::Sent || state == State::Answered) &&
+                        failure.empty() &&
+                        reader.state() != HttpMessageReader::State::Complete &&
+                        socket.closeSending();
   if (!isAtPeer) {
     cancel();
     over();
--- a/src/connection/HttpMessageReader.cpp
+++ b/src/connection/HttpMessageReader.cpp
@@ -1,5 +1,6 @@
 #include "connection/HttpMessageReader.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace plantainhatch {
@@ -20,12 +21,14 @@
   const std::size_t n =
       http_parser_execute(&parser, &settings(), bytes.data(), bytes.size());
   const auto error = HTTP_PARSER_ERRNO(&parser);
-  if (error == HPE_OK || current == State::HeadTooLarge)
+  const bool isRefused =
+      current == State::HeadTooLarge || current == State::Malformed;
+  if (error == HPE_OK || isRefused)
     return n;
   if (error == HPE_PAUSED && current == State::Complete)
     return n;
-  current = error == HPE_HEADER_OVERFLOW ? State::HeadTooLarge
-                                         : State::Malformed;
+  current =
+      error == HPE_HEADER_OVERFLOW ? State::HeadTooLarge : State::Malformed;
   return n;
 }
 
@@ -87,6 +90,15 @@
     return 0;
   current = State::Body;
   isLastField = false;
+  const bool hasBlankInName =
+      std::ranges::any_of(headers, [](const auto &header) {
+        return header.first.find_first_of(" \t") != std::string::npos;
+      });
+  // The parser takes "Name :" for a header that others would read differently.
+  if (hasBlankInName) {
+    current = State::Malformed;
+    return -1;
+  }
   // What asks for another protocol is answered in this one.
   parser.upgrade = 0;
   if (parser.content_length != std::numeric_limits<std::uint64_t>::max() &&
@@ -109,7 +121,7 @@
 }
 
 const http_parser_settings &HttpMessageReader::settings() {
-  static const http_parser_settings callbacks = [] {
+  static const http_parser_settings Callbacks = [] {
     http_parser_settings made;
     http_parser_settings_init(&made);
     made.on_url = [](http_parser *it, const char *at, std::size_t n) {
@@ -134,7 +146,7 @@
     };
     return made;
   }();
-  return callbacks;
+  return Callbacks;
 }
 
 } // namespace plantainhatch
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -31,8 +31,8 @@
   sockaddr_storage storage{};
   const gssize n = g_socket_address_get_native_size(local.get());
   g_socket_address_to_native(local.get(), &storage, sizeof(storage), nullptr);
-  const int fd = socket(storage.ss_family,
-                        SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int fd =
+      socket(storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     return makeFinding(field, address);
   const int on = 1;
@@ -69,8 +69,8 @@
         accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted < 0) {
       if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
-        LOG(WARNING)
-            << "a connection cannot be accepted: " << std::strerror(errno);
+        LOG(WARNING) << "a connection cannot be accepted: "
+                     << std::strerror(errno);
       return;
     }
     const auto connection =
--- a/src/connection/IncomingCall.cpp
+++ b/src/connection/IncomingCall.cpp
@@ -39,7 +39,7 @@
   std::string head =
       "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status) + "\r\n";
   for (const auto &[name, value] : headers)
-    head += name + ": " + value + "\r\n";
+    head.append(name).append(": ").append(value).append("\r\n");
   if (mustClose)
     head += "Connection: close\r\n";
   return head;
--- a/src/connection/StreamSocket.cpp
+++ b/src/connection/StreamSocket.cpp
@@ -79,8 +79,8 @@
   } else {
     return std::nullopt;
   }
-  const int fd = socket(storage.ss_family,
-                        SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int fd =
+      socket(storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     return std::nullopt;
   StreamSocket created(fd);
--- a/src/node/ForwardedCall.cpp
+++ b/src/node/ForwardedCall.cpp
@@ -55,7 +55,8 @@
 
   void start() {
     const CallRequest &original = incoming->request();
-    const auto timeout = parseTimeout(headerOf(original, headers::NodeTimeoutMs));
+    const auto timeout =
+        parseTimeout(headerOf(original, headers::NodeTimeoutMs));
     if (!timeout || !isProved()) {
       services.metrics.add("forward_rejected_total");
       refuse(httpStatus::Forbidden, "proof");
--- a/src/node/GateCall.cpp
+++ b/src/node/GateCall.cpp
@@ -8,8 +8,6 @@
 
 namespace plantainhatch {
 
-
-
 GateCall::GateCall(GateTask &gateTask, CallId id, HandOver handOver,
                    Receiver receiver)
     : task(gateTask), callId(id), handOver(std::move(handOver)),
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -22,9 +22,9 @@
 GateCallPtr GateTask::handOver(HandOver request, GateCall::Receiver receiver) {
   updateClosure();
   const TimePoint now = NodeServices::now();
-  const GateRequest asked{nextId++,         request.service,
-                          request.fingerprint, request.deadline,
-                          request.mayQueue, request.priority};
+  const GateRequest asked{
+      nextId++,         request.service,  request.fingerprint,
+      request.deadline, request.mayQueue, request.priority};
   const bool isQuarantined = crashes.isQuarantined(request.fingerprint);
   GateCallPtr call(
       new GateCall(*this, asked.id, std::move(request), std::move(receiver)));
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -5,8 +5,6 @@
 #include "request/HeaderNames.h"
 #include "request/HttpStatus.h"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <sstream>
 
@@ -37,9 +35,8 @@
   task.gate.noteIncoming(request->id);
   const std::string host =
       findHeader(request->headers, "Host").value_or(std::string());
-  rule = configuration->findService(std::string_view(host).substr(
-                                        0, host.find(':')),
-                                    request->path());
+  rule = configuration->findService(
+      std::string_view(host).substr(0, host.find(':')), request->path());
   if (rule == nullptr && task.services.settings.site &&
       configuration->head().version == 0) {
     answerSelf({httpStatus::ServiceUnavailable, Outcome::NotRun,
@@ -51,21 +48,22 @@
     return;
   }
   if (request->id.empty()) {
-    reject(httpStatus::BadRequest, "missing-" + task.services.dialect.requestId);
+    reject(httpStatus::BadRequest,
+           "missing-" + task.services.dialect.requestId);
     return;
   }
   service = task.chooseService(*rule);
-  const auto timeout = timeoutOf(incoming->request(), *rule,
-                                 task.services.dialect.timeoutMs);
+  const auto timeout =
+      timeoutOf(incoming->request(), *rule, task.services.dialect.timeoutMs);
   if (!timeout) {
     reject(httpStatus::BadRequest, "timeout-not-a-positive-number");
     return;
   }
   deadline = arrivedAt + *timeout;
   fingerprint = fingerprintOf(*request, service);
-  decision = std::make_unique<CallDecision>(
-      isIdempotent(*request, *rule), deadline, task.budgetOf(service),
-      rule->attempts);
+  decision =
+      std::make_unique<CallDecision>(isIdempotent(*request, *rule), deadline,
+                                     task.budgetOf(service), rule->attempts);
   if (task.crashes.isQuarantined(fingerprint)) {
     answerSelf({httpStatus::ServiceUnavailable, Outcome::NotRun,
                 std::string(toString(Refusal::Quarantined)),
@@ -102,7 +100,7 @@
       removeHeader(cleaned->headers, name);
   if (!dialect.callerService.empty())
     cleaned->headers.emplace_back(dialect.callerService,
-                                  task.services.settings.site->service);
+                                  task.services.settings.requireSite().service);
   return cleaned;
 }
 
@@ -178,6 +176,7 @@
   }
   const Choice &choice = picked->choice;
   decision->onForwarded(choice.peers);
+  pickedLoad = choice.load;
   mayHedge = mayHedge && !choice.callsOthers;
   if (picked->isLastResort)
     decision->expectRefusal();
@@ -201,8 +200,8 @@
                                       const std::shared_ptr<bool> &hasResult) {
   const bool isIsolated = task.services.dialect.isolatesUnsafeCalls &&
                           !isIdempotent(*request, *rule);
-  HandOver order{request,  service, fingerprint,
-                 deadline, mayQueue, isClaimHeld || isIsolated,
+  HandOver order{request,       service,  fingerprint,
+                 deadline,      mayQueue, isClaimHeld || isIsolated,
                  rule->priority};
   const CallPtr self(this);
   auto receiver = [self, hasResult,
@@ -228,11 +227,13 @@
   const TimePoint now = NodeServices::now();
   if (const auto *const refused = std::get_if<HandRefused>(&result)) {
     const bool isUnreachable = refused->refusal == Refusal::NotConnected;
+    noteAttempt(target, toString(refused->refusal));
     task.measure.loads().onEnded(target, isUnreachable, now);
     perform(decision->onRefused(target, refused->refusal, now));
     return;
   }
   const auto &failed = std::get<HandFailed>(result);
+  noteAttempt(target, failed.reason);
   task.measure.loads().onEnded(target, true, now);
   task.services.events.count(EventKind::CallsFailed, service,
                              "at " + target.toString() + ": " + failed.reason);
@@ -266,6 +267,7 @@
   if (std::holds_alternative<AnswerAction>(action))
     return false;
   attempts.erase(target);
+  noteAttempt(target, "failure-" + std::to_string(answer.head.status));
   task.measure.loads().onEnded(target, true, now);
   answer.source->cancel();
   perform(std::move(action));
@@ -295,8 +297,8 @@
 void IngressCall::collect(const Address &target, const AnswerHead &head,
                           const AnswerSourcePtr &source) {
   const CallPtr self(this);
-  const Duration left = isClaimHeld ? Duration(rule->timeout)
-                                    : deadline - NodeServices::now();
+  const Duration left =
+      isClaimHeld ? Duration(rule->timeout) : deadline - NodeServices::now();
   deadlineTimer.startOnce(std::max(left, Duration(1)), [self, target, source] {
     source->cancel();
     self->attempts.erase(target);
@@ -343,12 +345,16 @@
   if (std::exchange(isClaimHeld, false))
     claim->finish(ClaimState::Done,
                   {head.status, head.headers, collected, true});
+  note(head.status < httpStatus::InternalServerError ? DecisionKind::Served
+                                                     : DecisionKind::Failed,
+       head.status, "answer of " + target.toString());
   if (!isCallerGone)
     incoming->reply(head.status, head.headers, collected);
   end();
 }
 
 void IngressCall::onHeldAnswerBroken(const Address &target) {
+  noteAttempt(target, "answer-broken");
   if (isClaimHeld) {
     answerSelf({httpStatus::BadGateway, Outcome::Unknown, "answer-broken",
                 std::nullopt});
@@ -379,10 +385,9 @@
 }
 
 void IngressCall::answerSelf(const AnswerAction &answer) {
-  LOG(INFO) << "request " << request->id << ": answered " << answer.status
-            << " " << toString(answer.outcome) << " (" << answer.reason
-            << "), service " << service << ", targets tried "
-            << (decision ? decision->tried().size() : 0);
+  const bool isRefused = answer.outcome == Outcome::NotRun;
+  note(isRefused ? DecisionKind::Refused : DecisionKind::Failed, answer.status,
+       answer.reason);
   if (isEnded)
     return;
   cancelAttempts();
@@ -405,10 +410,45 @@
   end();
 }
 
+void IngressCall::note(DecisionKind kind, unsigned status,
+                       std::string_view reason) const {
+  using Milliseconds = std::chrono::milliseconds;
+  const TimePoint now = NodeServices::now();
+  task.services.decide(
+      kind,
+      {{"request", request->id},
+       {"rule", rule == nullptr ? std::string() : rule->name},
+       {"service", service},
+       {"status", status},
+       {"reason", reason},
+       {"version", configuration->head().version},
+       {"targets", decision ? decision->tried().size() : 0},
+       {"ms", std::chrono::floor<Milliseconds>(now - arrivedAt).count()}});
+}
+
+void IngressCall::noteAttempt(const Address &target,
+                              std::string_view reason) const {
+  using Milliseconds = std::chrono::milliseconds;
+  const bool wasHeard = pickedLoad.age != Duration::max();
+  task.services.decide(
+      DecisionKind::Attempt,
+      {{"request", request->id},
+       {"target", target.toString()},
+       {"reason", reason},
+       {"slowdown", pickedLoad.slowdown},
+       {"inFlight", pickedLoad.inFlight},
+       {"limit", pickedLoad.limit},
+       {"failureRate", pickedLoad.failureRate},
+       {"heardMsAgo",
+        wasHeard ? std::chrono::floor<Milliseconds>(pickedLoad.age).count()
+                 : -1}});
+}
+
 std::string
 IngressCall::formatRetryAfter(std::chrono::milliseconds delay) const {
   if (!task.services.dialect.hasFractionalRetryAfter)
-    return std::to_string(std::chrono::ceil<std::chrono::seconds>(delay).count());
+    return std::to_string(
+        std::chrono::ceil<std::chrono::seconds>(delay).count());
   std::ostringstream text;
   text << std::chrono::duration<double>(delay).count();
   return text.str();
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -41,6 +41,8 @@
   TimePoint arrivedAt;
   TimePoint deadline;
   std::unique_ptr<CallDecision> decision;
+  /** What was known of the load at the last pick. */
+  LoadEstimate pickedLoad;
   ClaimPtr claim;
   bool isClaimHeld = false;
   /** A second run of a target that calls others would run them again, too. */
@@ -83,6 +85,10 @@
              const AnswerSourcePtr &source);
 
   void answerSelf(const AnswerAction &answer);
+  /** Writes one line about the end of this call. */
+  void note(DecisionKind kind, unsigned status, std::string_view reason) const;
+  /** The same about one target that gave no answer. */
+  void noteAttempt(const Address &target, std::string_view reason) const;
   std::string formatRetryAfter(std::chrono::milliseconds delay) const;
   void reject(unsigned status, const std::string &reason);
   void replay(const StoredAnswer &answer);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -14,9 +14,8 @@
 
 } // namespace
 
-Checked<std::unique_ptr<Node>> Node::start(NodeSettings settings,
-                                           AnyPickPolicy policy,
-                                           NodeSurface surface) {
+Checked<std::unique_ptr<Node>>
+Node::start(NodeSettings settings, AnyPickPolicy policy, NodeSurface surface) {
   std::unique_ptr<Node> node(
       new Node(std::move(settings), std::move(surface.dialect)));
   auto peers = PeerTask::start(node->services);
@@ -51,8 +50,8 @@
 
 void Node::makeTasks(AnyPickPolicy policy,
                      ConfigurationKeeper::Builder builder) {
-  configuration = std::make_unique<ConfigurationTask>(services, *peers,
-                                                      std::move(builder));
+  configuration =
+      std::make_unique<ConfigurationTask>(services, *peers, std::move(builder));
   crashes = std::make_unique<CrashTask>(services, *peers, *configuration);
   gate = std::make_unique<GateTask>(services, *peers, *configuration, *crashes);
   measure = std::make_unique<MeasureTask>(services, *peers,
@@ -124,9 +123,9 @@
   if (isStopping)
     call->closeAfterAnswer();
   // At a site each path on this address is a caller's.
-  if (!services.settings.site && (isForwarded(call->request()) ||
-                                  call->request().target.starts_with(
-                                      StatusTask::PathPrefix))) {
+  if (!services.settings.site &&
+      (isForwarded(call->request()) ||
+       call->request().target.starts_with(StatusTask::PathPrefix))) {
     serveForward(call);
     return;
   }
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -28,17 +28,16 @@
   /** How long a stopping node goes on at least, so that others have heard that
    * it leaves. */
   static constexpr std::chrono::milliseconds SettleTime{1'500};
-  /** The same at a site whose callers are told by readiness, which is asked once
-   * a second and believed at the second refusal. */
+  /** The same at a site whose callers are told by readiness, which is asked
+   * once a second and believed at the second refusal. */
   static constexpr std::chrono::milliseconds SiteSettleTime{2'600};
   /** Kept back from the time until the platform ends the process. */
   static constexpr std::chrono::milliseconds StopMargin{300};
 
   /** Opens all addresses and starts. \return the node, or what keeps it from
    * starting. */
-  static Checked<std::unique_ptr<Node>> start(NodeSettings settings,
-                                              AnyPickPolicy policy,
-                                              NodeSurface surface = {});
+  static Checked<std::unique_ptr<Node>>
+  start(NodeSettings settings, AnyPickPolicy policy, NodeSurface surface = {});
 
   /** True if callers are welcome: a configuration is in force, and the node
    * does not stop. */
@@ -68,7 +67,8 @@
   std::unique_ptr<ArchiveTask> archive;
   std::unique_ptr<AnnounceTask> announcements;
   std::unique_ptr<HttpServer> callers;
-  /** Calls that other nodes forward, where they have an address of their own. */
+  /** Calls that other nodes forward, where they have an address of their own.
+   */
   std::unique_ptr<HttpServer> forwards;
   Timer countTimer;
   Timer stopTimer;
--- a/src/node/NodeServices.cpp
+++ b/src/node/NodeServices.cpp
@@ -2,6 +2,10 @@
 
 #include <glog/logging.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <climits>
 #include <ctime>
 
 #include <algorithm>
@@ -10,6 +14,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds WriteInterval{100};
+
 std::chrono::nanoseconds threadTime() {
   timespec time{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
@@ -21,9 +27,36 @@
 
 NodeServices::NodeServices(NodeSettings nodeSettings, Dialect ownDialect)
     : settings(std::move(nodeSettings)), dialect(std::move(ownDialect)),
-      codec(settings.key),
-      session(std::make_unique<HttpSession>()), platform(settings.platform),
-      events(settings.callers.toString()), random(std::random_device()()) {}
+      codec(settings.key), session(std::make_unique<HttpSession>()),
+      platform(settings.platform), events(settings.callers.toString()),
+      random(std::random_device()()),
+      decisions(settings.forwardAddress().toString()) {
+  if (settings.site)
+    decisionTimer.startRepeating(WriteInterval, [this] { writeDecisions(); });
+}
+
+NodeServices::~NodeServices() { writeDecisions(); }
+
+void NodeServices::decide(DecisionKind kind, nlohmann::json fields) {
+  if (settings.site)
+    decisions.add(kind, std::move(fields), wallNow(), now());
+}
+
+void NodeServices::writeDecisions() {
+  // A pipe that can be written at all takes this many bytes without blocking.
+  constexpr std::size_t MaxAtomicWrite = PIPE_BUF;
+  while (settings.site) {
+    pollfd out{STDOUT_FILENO, POLLOUT, 0};
+    if (poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0)
+      return;
+    const std::string lines = decisions.take(MaxAtomicWrite, wallNow(), now());
+    if (lines.empty())
+      return;
+    // A reader that has gone is no reason to stop.
+    [[maybe_unused]] const auto n =
+        ::write(STDOUT_FILENO, lines.data(), lines.size());
+  }
+}
 
 WallTime NodeServices::wallNow() {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(
@@ -32,8 +65,13 @@
 
 void NodeServices::record(EventKind kind, std::string subject,
                           std::string detail, std::string cause) {
-  LOG(INFO) << toString(kind) << " " << subject << ": " << detail << " ("
-            << cause << ")";
+  if (!settings.site)
+    LOG(INFO) << toString(kind) << " " << subject << ": " << detail << " ("
+              << cause << ")";
+  decide(DecisionKind::Belief, {{"event", toString(kind)},
+                                {"subject", subject},
+                                {"detail", detail},
+                                {"cause", cause}});
   events.record(stamp(), kind, std::move(subject), std::move(detail),
                 std::move(cause));
 }
--- a/src/node/NodeServices.h
+++ b/src/node/NodeServices.h
@@ -7,7 +7,9 @@
 #include "base/Settings.h"
 #include "connection/HttpSession.h"
 #include "connection/MessageCodec.h"
+#include "connection/Timer.h"
 #include "platform/StoreClient.h"
+#include "process/DecisionLog.h"
 #include "process/EventLog.h"
 #include "process/Metrics.h"
 #include "request/Dialect.h"
@@ -25,6 +27,12 @@
 public:
   NodeServices(NodeSettings nodeSettings, Dialect dialect);
 
+  ~NodeServices();
+  NodeServices(const NodeServices &) = delete;
+  NodeServices &operator=(const NodeServices &) = delete;
+  NodeServices(NodeServices &&) = delete;
+  NodeServices &operator=(NodeServices &&) = delete;
+
   const NodeSettings settings;
   /** How callers and targets are spoken with. */
   const Dialect dialect;
@@ -49,6 +57,9 @@
   void record(EventKind kind, std::string subject, std::string detail,
               std::string cause);
 
+  /** Writes one line about a decision, at a site only. */
+  void decide(DecisionKind kind, nlohmann::json fields);
+
   /** A random identifier. */
   std::string makeId();
 
@@ -62,7 +73,11 @@
   }
 
 private:
+  DecisionLog decisions;
+  Timer decisionTimer;
   HybridClock clock;
+
+  void writeDecisions();
 };
 
 /** Meters the processor time of what the fleet's control costs, from
--- a/src/node/SeedTask.cpp
+++ b/src/node/SeedTask.cpp
@@ -48,17 +48,17 @@
 
 void SeedTask::read() {
   lastReadAt = NodeServices::now();
-  services.platform.readRows(services.table(SeedTable), "", MaxRows,
-                             [this](const RowsResult &result) {
-                               const ControlScope scope(services.metrics);
-                               if (result.result == StoreResult::Ok) {
-                                 lonelyInterval = LonelyInterval;
-                                 onRows(result.rows);
-                               } else {
-                                 lonelyInterval = std::min<Duration>(
-                                     lonelyInterval * 2, MaxLonelyInterval);
-                               }
-                             });
+  services.platform.readRows(
+      services.table(SeedTable), "", MaxRows, [this](const RowsResult &result) {
+        const ControlScope scope(services.metrics);
+        if (result.result == StoreResult::Ok) {
+          lonelyInterval = LonelyInterval;
+          onRows(result.rows);
+        } else {
+          lonelyInterval =
+              std::min<Duration>(lonelyInterval * 2, MaxLonelyInterval);
+        }
+      });
 }
 
 void SeedTask::onRows(const std::vector<Row> &rows) {
--- a/src/operator/CommandContext.h
+++ b/src/operator/CommandContext.h
@@ -4,9 +4,9 @@
 #define PLANTAINHATCH_OPERATOR_COMMANDCONTEXT_H
 
 #include "base/Settings.h"
-#include "platform/StoreClient.h"
 #include "operator/ConfigurationStore.h"
 #include "operator/NodeClient.h"
+#include "platform/StoreClient.h"
 
 #include <functional>
 #include <optional>
--- a/src/operator/runCommand.cpp
+++ b/src/operator/runCommand.cpp
@@ -68,6 +68,9 @@
     line.resize(std::max(Width, line.size() + 1), ' ');
     text += line + std::string(command.description) + "\n";
   }
+  text +=
+      "  explain REQUEST [LOG...]  show a request's way through the logs of "
+      "nodes\n";
   return text;
 }
 
--- a/src/process/ConfigurationKeeper.h
+++ b/src/process/ConfigurationKeeper.h
@@ -53,8 +53,8 @@
   static constexpr std::size_t MaxSteps = 64;
 
   /** Reads a text; Configuration::build for the product's own rules. */
-  using Builder = std::function<Checked<ConfigurationPtr>(ConfigurationHead,
-                                                          std::string)>;
+  using Builder =
+      std::function<Checked<ConfigurationPtr>(ConfigurationHead, std::string)>;
 
   explicit ConfigurationKeeper(Builder builder = Configuration::build)
       : builder(std::move(builder)), inForce(Configuration::makeEmpty()) {}
--- /dev/null
+++ b/src/process/DecisionLog.h
@@ -0,0 +1,70 @@
+/** \file
+ * One line for each decision that touches a request or changes what the process
+ * believes. */
+#ifndef PLANTAINHATCH_PROCESS_DECISIONLOG_H
+#define PLANTAINHATCH_PROCESS_DECISIONLOG_H
+
+#include "base/Time.h"
+#include "base/TokenBucket.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace plantainhatch {
+
+/** Kinds of decisions; each has a bound of its own, so that many of one leave
+ * room for the others. */
+enum class DecisionKind : std::uint8_t {
+  /** Start, stop, reload, lost and regained dependencies, news of the fleet. */
+  Belief,
+  /** The system refused a request. */
+  Refused,
+  /** A request failed, or what became of it is not known. */
+  Failed,
+  /** A target did not give the answer that was asked for. */
+  Attempt,
+  Served
+};
+
+/** "belief", "refused", "failed", "attempt" or "served". */
+std::string_view toString(DecisionKind kind);
+
+/** Gathers lines of JSON, one object each, up to a rate for each kind and up to
+ * MaxBytes in all; what is left out is counted. Not thread-safe. */
+class DecisionLog {
+public:
+  /** Lines that were not taken out yet. */
+  static constexpr std::size_t MaxBytes = 128UL * 1024;
+  static constexpr std::chrono::seconds CountInterval{1};
+
+  /** \param node is named in each line. */
+  explicit DecisionLog(std::string node);
+
+  /** Adds a line with \p fields, a JSON object. */
+  void add(DecisionKind kind, nlohmann::json fields, WallTime wallTime,
+           TimePoint now);
+
+  /** Whole lines that wait to be written, at most \p most bytes of them; adds a
+   * line about what was left out when one is due. */
+  std::string take(std::size_t most, WallTime wallTime, TimePoint now);
+
+private:
+  static constexpr std::size_t Kinds = 5;
+
+  std::string node;
+  std::string lines;
+  std::array<TokenBucket, Kinds> budgets;
+  std::array<std::uint64_t, Kinds> omitted{};
+  TimePoint countedAt;
+
+  void append(DecisionKind kind, nlohmann::json fields, WallTime wallTime);
+  void countOmitted(WallTime wallTime, TimePoint now);
+};
+
+} // namespace plantainhatch
+
+#endif
--- a/src/process/LoadTable.cpp
+++ b/src/process/LoadTable.cpp
@@ -50,8 +50,8 @@
   guess.slowdown = entry.report.slowdownPercent / 100.0;
   guess.isCold = entry.report.isCold;
   if (guess.age < MaxReportAge)
-    guess.failureRate = std::max(guess.failureRate,
-                                 entry.report.failurePercent / 100.0);
+    guess.failureRate =
+        std::max(guess.failureRate, entry.report.failurePercent / 100.0);
   guess.limit = entry.report.limit;
   if (guess.age < MaxReportAge)
     guess.inFlight = std::max<double>(
--- a/src/request/CallDecision.cpp
+++ b/src/request/CallDecision.cpp
@@ -90,10 +90,9 @@
 AnswerAction CallDecision::refuse() const {
   const unsigned status =
       hasFailed ? httpStatus::BadGateway : httpStatus::ServiceUnavailable;
-  const bool isFull = lastRefusal == Refusal::Full ||
-                      lastRefusal == Refusal::Displaced ||
-                      lastRefusal == Refusal::ColdRate ||
-                      lastRefusal == Refusal::TargetShed;
+  const bool isFull =
+      lastRefusal == Refusal::Full || lastRefusal == Refusal::Displaced ||
+      lastRefusal == Refusal::ColdRate || lastRefusal == Refusal::TargetShed;
   return AnswerAction{status, outcome(), std::string(toString(lastRefusal)),
                       isFull ? RetryWhenFullAfter : RetryAfter};
 }
--- a/src/request/PickPolicy.h
+++ b/src/request/PickPolicy.h
@@ -39,8 +39,8 @@
     std::variant<HotColdPolicy, ExpectedEndPolicy, RandomPolicy,
                  RoundRobinPolicy, LeastInFlightPolicy>;
 
-/** The policy of this name: "hot-cold", "expected-end", "random", "round-robin" or
- * "least-in-flight". */
+/** The policy of this name: "hot-cold", "expected-end", "random", "round-robin"
+ * or "least-in-flight". */
 std::optional<AnyPickPolicy> makePickPolicy(std::string_view name);
 
 } // namespace plantainhatch
--- /dev/null
+++ b/test/error/HttpMessageFaultsTest.cpp
@@ -0,0 +1,117 @@
+/** \file
+ * What is taken for a message, and what is not. */
+#include "connection/HttpMessageReader.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainhatch;
+using State = HttpMessageReader::State;
+
+namespace {
+
+struct RequestCase {
+  const char *name;
+  std::string bytes;
+  State state;
+};
+
+} // namespace
+
+TEST_GROUP(HttpMessageFaults) {
+  HttpMessageReader request{HTTP_REQUEST};
+  HttpMessageReader answer{HTTP_RESPONSE};
+};
+
+TEST(HttpMessageFaults, RequestsThatCouldHideAnotherAreMalformed) {
+  const RequestCase cases[] = {
+      {"length and chunks",
+       "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n0\r\n\r\n",
+       State::Malformed},
+      {"two lengths",
+       "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+       State::Malformed},
+      {"length that is no number",
+       "POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\nabc", State::Malformed},
+      {"space before a colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n",
+       State::Malformed},
+      {"no protocol", "hello\r\n\r\n", State::Malformed},
+      {"chunk without a size",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: "
+       "chunked\r\n\r\nzz\r\n",
+       State::Malformed},
+      {"whole", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc",
+       State::Complete}};
+  for (const RequestCase &it : cases) {
+    HttpMessageReader reader(HTTP_REQUEST);
+    reader.feed(it.bytes);
+    CHECK_TEXT(reader.state() == it.state, it.name);
+  }
+}
+
+TEST(HttpMessageFaults, HeadOverTheLimitIsToldApart) {
+  const std::string large(HttpMessageReader::MaxHeadBytes, 'x');
+  request.feed("GET / HTTP/1.1\r\nX-Large: " + large + "\r\n\r\n");
+  CHECK(request.state() == State::HeadTooLarge);
+}
+
+TEST(HttpMessageFaults, BytesBehindARequestWaitForTheirTurn) {
+  const std::string both = "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n";
+  const std::size_t n = request.feed(both);
+  CHECK(request.state() == State::Complete);
+  STRCMP_EQUAL("/a", request.target.c_str());
+  CHECK(n < both.size());
+  request.restart();
+  request.feed(both.substr(n));
+  CHECK(request.state() == State::Complete);
+  STRCMP_EQUAL("/b", request.target.c_str());
+}
+
+TEST(HttpMessageFaults, AnswerIsReadByteForByte) {
+  const std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                            "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  for (const char c : bytes)
+    answer.feed(std::string_view(&c, 1));
+  CHECK(answer.state() == State::Complete);
+  STRCMP_EQUAL("abc", answer.body.c_str());
+}
+
+TEST(HttpMessageFaults, SecondAnswerIsNotPartOfTheFirst) {
+  const std::string one = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+  CHECK_EQUAL(one.size(), answer.feed(one + one));
+  CHECK(answer.state() == State::Complete);
+}
+
+TEST(HttpMessageFaults, AnswerThatEndsEarlyIsNotWhole) {
+  answer.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+  answer.feedEnd();
+  CHECK(answer.state() == State::Malformed);
+  HttpMessageReader chunked(HTTP_RESPONSE);
+  chunked.feed(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  chunked.feedEnd();
+  CHECK(chunked.state() == State::Malformed);
+}
+
+TEST(HttpMessageFaults, AnswerWithoutALengthEndsWithItsConnection) {
+  answer.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  CHECK(answer.state() == State::Body);
+  answer.feedEnd();
+  CHECK(answer.state() == State::Complete);
+  CHECK_FALSE(answer.keepsAlive());
+}
+
+TEST(HttpMessageFaults, InterimAnswerIsPassedOver) {
+  answer.feed("HTTP/1.1 100 Continue\r\nX-Interim: 1\r\n\r\n");
+  CHECK_FALSE(answer.hasHead());
+  answer.feed("HTTP/1.1 204 No Content\r\nX-Final: 1\r\n\r\n");
+  CHECK(answer.state() == State::Complete);
+  CHECK_EQUAL(204, answer.status());
+  CHECK_EQUAL(1, answer.headers.size());
+}
+
+TEST(HttpMessageFaults, AnswerToHeadHasNoBody) {
+  answer.expectNoBody();
+  answer.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+  CHECK(answer.state() == State::Complete);
+}
--- a/test/fault/PlatformOutageTest.cpp
+++ b/test/fault/PlatformOutageTest.cpp
@@ -80,8 +80,8 @@
       json{{"table", "test-config"}, {"key", "head"}, {"value", head.body}}
           .dump());
   CHECK(Fleet::waitUntil([&] {
-    const auto row =
-        fleet.http.get(fleet.platform, "/standin/row?table=test-config&key=head");
+    const auto row = fleet.http.get(fleet.platform,
+                                    "/standin/row?table=test-config&key=head");
     return json::parse(row.body).value("version", 0) == 2;
   }));
   for (std::size_t n = 0; n < fleet.vms.size(); ++n)
--- /dev/null
+++ b/test/platform/AdapterTest.cpp
@@ -0,0 +1,249 @@
+/** \file
+ * What the adapter reads from the platform, without a network. */
+#include "platform/Dialect.h"
+#include "platform/HeartbeatOrder.h"
+#include "platform/decodeConfiguration.h"
+#include "platform/parseHeartbeat.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainhatch;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *Id = "X-Plantainhatch-Request-Attempt-Id";
+constexpr const char *Signature = "X-Plantainhatch-Server-Signature";
+constexpr const char *NotExecuted = "X-Plantainhatch-Not-Executed";
+
+struct AnswerCase {
+  const char *name;
+  unsigned status;
+  HeaderList headers;
+  AnswerKind kind;
+};
+
+json goodHeartbeat() {
+  return {{"address", "10.0.0.7:8000"},
+          {"born", 1'700'000'000'000},
+          {"information",
+           {{"service", "s"}, {"version", "v1"}, {"zone", "a"}, {"slots", 9}}},
+          {"status",
+           {{"state", "ready"}, {"sequence", 4}, {"cold_remaining_ms", 0}}}};
+}
+
+json goodDocument() {
+  return {{"version", 7},
+          {"routes",
+           {{"r1",
+             {{"host", "h.example"},
+              {"prefix", "/a/"},
+              {"kind", "unsafe"},
+              {"timeout_ms", 1200},
+              {"priority", 1},
+              {"attempts", 2},
+              {"service", "s"}}},
+            {"r2",
+             {{"host", "h.example"},
+              {"prefix", "/a/b/"},
+              {"kind", "safe"},
+              {"timeout_ms", 1000},
+              {"priority", 2},
+              {"attempts", 3},
+              {"traffic_split",
+               {{{"service", "s"}, {"weight", 90}},
+                {{"service", "t"}, {"weight", 10}}}}}}}},
+          {"services",
+           {{"s",
+             {{"health_check_path", "/health"},
+              {"connection_limit", 220},
+              {"cold_per_s", 20.0}}}}},
+          {"limits", json::object()}};
+}
+
+Checked<ConfigurationPtr> decode(const platform::OperatorRows &rows) {
+  const std::string text = platform::encodeRows(rows);
+  return platform::decodeConfiguration(platform::makeHead(5, text), text);
+}
+
+platform::Heartbeat beat(const std::string &name, std::int64_t startedAtMs,
+                         std::uint64_t sequence) {
+  platform::Heartbeat heartbeat;
+  heartbeat.target.bootId = name;
+  heartbeat.startedAtMs = startedAtMs;
+  heartbeat.sequence = sequence;
+  return heartbeat;
+}
+
+} // namespace
+
+TEST_GROUP(PlatformDialect){};
+
+TEST(PlatformDialect, AnswersAreJudgedByWhatTheyProve) {
+  const AnswerCase cases[] = {
+      {"signed answer",
+       200,
+       {{Id, "1"}, {Signature, "x"}},
+       AnswerKind::Genuine},
+      {"signed failure",
+       500,
+       {{Id, "1"}, {Signature, "x"}},
+       AnswerKind::Genuine},
+      {"unsigned", 200, {{Id, "1"}}, AnswerKind::Foreign},
+      {"of another request",
+       200,
+       {{Id, "2"}, {Signature, "x"}},
+       AnswerKind::Foreign},
+      {"not-run of another request",
+       503,
+       {{Id, "2"}, {NotExecuted, "1"}},
+       AnswerKind::Foreign},
+      {"shed", 503, {{Id, "1"}, {NotExecuted, "1"}}, AnswerKind::NotRun},
+      {"shed without an identifier",
+       503,
+       {{NotExecuted, "1"}},
+       AnswerKind::NotRun},
+      {"503 without the proof", 503, {{Id, "1"}}, AnswerKind::Foreign},
+      {"another target", 421, {}, AnswerKind::WrongTarget},
+      {"encoded body",
+       200,
+       {{Id, "1"}, {Signature, "x"}, {"Content-Encoding", "gzip"}},
+       AnswerKind::Foreign}};
+  const Dialect dialect = platform::makeDialect();
+  for (const AnswerCase &it : cases)
+    CHECK_TEXT(dialect.judge(it.status, it.headers, "1") == it.kind, it.name);
+}
+
+TEST(PlatformDialect, LoadHasAnOptionalSlowdown) {
+  const Dialect dialect = platform::makeDialect();
+  const auto read = [&](const std::string &text) {
+    return dialect.readLoad({{"X-Plantainhatch-Server-Load", text}});
+  };
+  CHECK_EQUAL(3, read("3,1,8,700")->running);
+  DOUBLES_EQUAL(7.0, read("3,1,8,700")->slowdown, 0.001);
+  DOUBLES_EQUAL(1.0, read("3,1,8")->slowdown, 0.001);
+  CHECK_FALSE(read("three,1,8").has_value());
+  CHECK_FALSE(dialect.readLoad({}).has_value());
+}
+
+TEST_GROUP(Heartbeats) { platform::HeartbeatOrder order; };
+
+TEST(Heartbeats, GoodOneNamesATarget) {
+  const auto read = platform::parseHeartbeat("i-1", goodHeartbeat().dump());
+  CHECK(read.has_value());
+  CHECK_EQUAL(9, read.value().target.slots);
+  CHECK_EQUAL(4, read.value().sequence);
+  CHECK_FALSE(read.value().isLeaving);
+}
+
+TEST(Heartbeats, EachFaultNamesItsFieldAndNoTarget) {
+  const std::pair<const char *, json> faults[] = {
+      {"/address", "nowhere"},      {"/address", 3},
+      {"/born", "yesterday"},       {"/information/service", 7},
+      {"/information/slots", 0},    {"/information/slots", "many"},
+      {"/status/state", "resting"}, {"/status/sequence", -1},
+      {"/status/sequence", 1.5},    {"/status/cold_remaining_ms", nullptr}};
+  for (const auto &[path, value] : faults) {
+    json body = goodHeartbeat();
+    body[json::json_pointer(path)] = value;
+    const auto read = platform::parseHeartbeat("i-1", body.dump());
+    CHECK_TEXT(!read.has_value(), path);
+    std::string field(path + 1);
+    std::ranges::replace(field, '/', '.');
+    STRCMP_EQUAL(field.c_str(), read.error().front().field.c_str());
+  }
+  CHECK(!platform::parseHeartbeat("i-1", "{").has_value());
+}
+
+TEST(Heartbeats, AllFaultsAreReportedTogether) {
+  const auto read = platform::parseHeartbeat("i-1", "{}");
+  CHECK(read.error().size() >= 5);
+}
+
+TEST(Heartbeats, HeldUpOneOfTheSameStartIsNoNews) {
+  CHECK(order.accept(beat("i-1", 100, 4)));
+  CHECK_FALSE(order.accept(beat("i-1", 100, 3)));
+  CHECK_FALSE(order.accept(beat("i-1", 100, 4)));
+  CHECK(order.accept(beat("i-1", 100, 5)));
+}
+
+TEST(Heartbeats, HeldUpOneOfAFormerStartIsNoNews) {
+  CHECK(order.accept(beat("i-1", 100, 9)));
+  CHECK(order.accept(beat("i-2", 200, 1)));
+  CHECK_FALSE(order.accept(beat("i-1", 100, 10)));
+}
+
+TEST(Heartbeats, StartUnderTheSameNameCountsAnew) {
+  CHECK(order.accept(beat("i-1", 100, 9)));
+  CHECK(order.accept(beat("i-1", 200, 1)));
+}
+
+TEST(Heartbeats, TargetThatLeftDoesNotComeBackByAnyOfItsHeartbeats) {
+  CHECK(order.accept(beat("i-1", 100, 4)));
+  order.markLeft("i-1");
+  CHECK_FALSE(order.accept(beat("i-1", 100, 5)));
+  CHECK(order.accept(beat("i-1", 300, 1)));
+}
+
+TEST_GROUP(OperatorRows) {
+  platform::OperatorRows rows{{"config", goodDocument().dump()}};
+};
+
+TEST(OperatorRows, RoutesBecomeRules) {
+  const auto read = decode(rows);
+  CHECK(read.has_value());
+  const Configuration &configuration = *read.value();
+  const ServiceRule *const rule =
+      configuration.findService("h.example", "/a/x");
+  CHECK(rule != nullptr);
+  CHECK_EQUAL(2, rule->attempts);
+  CHECK_FALSE(*rule->isRepeatable);
+  LONGS_EQUAL(1200, rule->timeout.count());
+  const ServiceRule *const longer =
+      configuration.findService("h.example", "/a/b/x");
+  CHECK_EQUAL(2, longer->parts.size());
+  CHECK_EQUAL(10, longer->parts[1].weight);
+  CHECK(configuration.findService("other.example", "/a/x") == nullptr);
+  CHECK(configuration.findService("h.example", "/a") == nullptr);
+  DOUBLES_EQUAL(20.0, configuration.findTraits("s")->coldCallsPerSecond, 0.01);
+}
+
+TEST(OperatorRows, EvacuationTakesTheDomainOutUntilItsRowIsGone) {
+  rows["evacuate/zone-1"] = "{}";
+  CHECK(decode(rows).value()->findDomainOut("zone-1") != nullptr);
+  rows.erase("evacuate/zone-1");
+  CHECK(decode(rows).value()->findDomainOut("zone-1") == nullptr);
+}
+
+TEST(OperatorRows, EachFaultNamesItsPlace) {
+  const std::pair<const char *, json> faults[] = {
+      {"/routes/r1/host", 5},
+      {"/routes/r1/kind", "risky"},
+      {"/routes/r1/timeout_ms", 0},
+      {"/routes/r1/attempts", "two"},
+      {"/routes/r2/traffic_split", json::array()},
+      {"/services/s/health_check_path", nullptr},
+      {"/routes", json::array()}};
+  for (const auto &[path, value] : faults) {
+    json document = goodDocument();
+    document[json::json_pointer(path)] = value;
+    const auto read = decode({{"config", document.dump()}});
+    CHECK_TEXT(!read.has_value(), path);
+    std::string field(path + 1);
+    std::ranges::replace(field, '/', '.');
+    CHECK_TEXT(
+        std::ranges::any_of(
+            read.error(), [&](const Finding &it) { return it.field == field; }),
+        path);
+  }
+}
+
+TEST(OperatorRows, UnreadableRowsNameNothing) {
+  CHECK(!decode({{"config", "{"}}).has_value());
+  CHECK(!decode({{"evacuate/zone-1", "{}"}}).has_value());
+  const std::string text = platform::encodeRows(rows);
+  auto head = platform::makeHead(5, text);
+  CHECK(!platform::decodeConfiguration(head, text + " ").has_value());
+}
--- /dev/null
+++ b/test/platform/SiteFixture.cpp
@@ -0,0 +1,293 @@
+#include "platform/SiteFixture.h"
+
+#include "operator/MainLoop.h"
+
+#include <numeric>
+
+namespace plantainhatch::test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char *Service = "shop";
+constexpr const char *IdHeader = "X-Plantainhatch-Request-Attempt-Id";
+constexpr const char *SignatureHeader = "X-Plantainhatch-Server-Signature";
+
+std::string makeConfiguration() {
+  const auto route = [](const char *prefix, const char *kind) {
+    return json{{"host", "h.example"}, {"prefix", prefix},
+                {"kind", kind},        {"timeout_ms", 2000},
+                {"attempts", 2},       {"priority", 1},
+                {"service", Service},  {"target_latency_ms", 400}};
+  };
+  return json{{"version", 1},
+              {"routes",
+               {{"read", route("/read/", "safe")},
+                {"write", route("/write/", "unsafe")}}},
+              {"services",
+               {{Service,
+                 {{"health_check_path", "/health"},
+                  {"connection_limit", 220},
+                  {"cold_start_s", 3.0},
+                  {"cold_per_s", 20.0}}}}},
+              {"limits", json::object()}}
+      .dump();
+}
+
+/** Gathers a whole answer. */
+void readAnswer(const boost::intrusive_ptr<Exchange> &exchange,
+                const std::shared_ptr<HttpAnswer> &answer, unsigned status) {
+  exchange->read([exchange, answer, status](const Chunk &chunk) {
+    if (const auto *const bytes = std::get_if<GBytesPtr>(&chunk)) {
+      answer->body += toString(bytes->get());
+      readAnswer(exchange, answer, status);
+    } else if (std::holds_alternative<BodyEnd>(chunk)) {
+      answer->status = status;
+    } else {
+      answer->status = 1;
+    }
+  });
+}
+
+} // namespace
+
+SiteTarget::SiteTarget(const Address &address, std::string service,
+                       std::string name)
+    : address(address), service(std::move(service)),
+      targetName(std::move(name)) {
+  auto listening = HttpServer::listen(
+      address, "target", [this](const IncomingCallPtr &call) { serve(call); });
+  if (listening)
+    server = std::move(listening).value();
+}
+
+void SiteTarget::serve(const IncomingCallPtr &call) {
+  if (call->request().path() == "/health") {
+    call->reply(200,
+                {{"X-Plantainhatch-Instance-Id", targetName},
+                 {"X-Plantainhatch-Server-Load", "0,0,9,100"}},
+                "");
+    return;
+  }
+  const std::string id =
+      findHeader(call->request().headers, IdHeader).value_or("");
+  seenHeaders = call->request().headers;
+  if (manner == Manner::Shed) {
+    call->reply(503, {{"X-Plantainhatch-Not-Executed", "1"}}, "");
+    return;
+  }
+  ++runs[id];
+  if (manner == Manner::Hold)
+    held.push_back(call);
+  else
+    answerCall(call, id);
+}
+
+void SiteTarget::answerCall(const IncomingCallPtr &call,
+                            const std::string &id) {
+  const HeaderList signedHeaders{{IdHeader, id}, {SignatureHeader, targetName}};
+  switch (manner) {
+  case Manner::Foreign:
+    call->reply(200, {{IdHeader, "another"}, {SignatureHeader, targetName}},
+                "of another");
+    break;
+  case Manner::Unsigned:
+    call->reply(200, {{IdHeader, id}}, "unsigned");
+    break;
+  case Manner::Fail:
+    call->reply(500, signedHeaders, "failed");
+    break;
+  case Manner::BreakOff: {
+    AnswerHead head;
+    head.status = 200;
+    head.headers = signedHeaders;
+    head.contentLength = 100;
+    call->startStream(head);
+    const GBytesPtr half(g_bytes_new("half", 4));
+    call->writeChunk(half.get(), [call] { call->abort(); });
+    break;
+  }
+  default:
+    call->reply(200, signedHeaders, "whole " + id);
+  }
+}
+
+void SiteTarget::release() {
+  manner = Manner::Answer;
+  for (const IncomingCallPtr &call : std::exchange(held, {}))
+    answerCall(call,
+               findHeader(call->request().headers, IdHeader).value_or(""));
+}
+
+unsigned SiteTarget::runsOf(const std::string &requestId) const {
+  const auto it = runs.find(requestId);
+  return it == runs.end() ? 0 : it->second;
+}
+
+unsigned SiteTarget::runCount() const {
+  return std::accumulate(
+      runs.begin(), runs.end(), 0U,
+      [](unsigned sum, const auto &item) { return sum + item.second; });
+}
+
+json SiteTarget::heartbeat(const std::string &state) {
+  return {
+      {"address", address.toString()},
+      {"born", 1},
+      {"information", {{"service", service}, {"version", "v1"}, {"slots", 9}}},
+      {"status",
+       {{"state", state}, {"sequence", ++sequence}, {"cold_remaining_ms", 0}}}};
+}
+
+SiteFixture::SiteFixture(const std::vector<std::string> &failureDomains)
+    : files(FleetPlan{}), store(freeAddress()) {
+  storeProcess = std::make_unique<ChildProcess>(
+      std::vector<std::string>{binFolder() + "/standin-platform",
+                               store.toString()},
+      files.write("store.log", ""));
+  for (const std::string &domain : failureDomains) {
+    auto machine = std::make_unique<SiteMachine>();
+    for (Address *const it :
+         {&machine->callers, &machine->peers, &machine->targets,
+          &machine->forwards, &machine->readiness, &machine->metrics,
+          &machine->targetAddress})
+      *it = freeAddress();
+    machine->target =
+        std::make_unique<SiteTarget>(machine->targetAddress, Service,
+                                     "i-" + std::to_string(machines.size()));
+    writeSettings(*machine, domain);
+    machines.push_back(std::move(machine));
+  }
+}
+
+void SiteFixture::writeSettings(SiteMachine &machine,
+                                const std::string &failureDomain) {
+  const json site{{"forwards", machine.forwards.toString()},
+                  {"readiness", machine.readiness.toString()},
+                  {"metrics", machine.metrics.toString()},
+                  {"target", machine.targetAddress.toString()},
+                  {"service", Service},
+                  {"stopGraceMs", 6000},
+                  {"coldSlack", 5},
+                  {"retryRatio", 0.2},
+                  {"retryExtra", 56},
+                  {"retryWindowSeconds", 10},
+                  {"probesPerSecond", 60}};
+  const json settings{{"cluster", "site"},
+                      {"failureDomain", failureDomain},
+                      {"callers", machine.callers.toString()},
+                      {"peers", machine.peers.toString()},
+                      {"targets", machine.targets.toString()},
+                      {"platform", "http://" + store.toString()},
+                      {"key", "0123456789abcdef"},
+                      {"site", site}};
+  machine.settingsFile =
+      files.write("site-" + std::to_string(machine.callers.port) + ".json",
+                  settings.dump(2));
+}
+
+bool SiteFixture::start() {
+  const bool isStoreUp = Fleet::waitUntil(
+      [this] { return http.get(store, "/standin/stats").status == 200; });
+  if (!isStoreUp)
+    return false;
+  writeRow("config", makeConfiguration());
+  for (std::size_t n = 0; n < machines.size(); ++n)
+    startNode(n);
+  const auto knowsAll = [this](std::size_t n) {
+    const auto status =
+        http.get(machines[n]->forwards, "/plantainhatch/v1/status?members=1");
+    const json body = json::parse(status.body, nullptr, false);
+    if (!body.is_object() || !body.contains("members"))
+      return false;
+    const auto serving =
+        std::ranges::count_if(body["members"], [](const json &member) {
+          return member.value("targetState", "") == "cold" ||
+                 member.value("targetState", "") == "warm";
+        });
+    return serving == static_cast<std::ptrdiff_t>(machines.size());
+  };
+  return Fleet::waitUntil([&] {
+    bool isComplete = true;
+    for (std::size_t n = 0; n < machines.size(); ++n)
+      isComplete = beat(n, "ready") == 200 && isReady(n) && isComplete;
+    for (std::size_t n = 0; isComplete && n < machines.size(); ++n)
+      isComplete = knowsAll(n);
+    return isComplete;
+  });
+}
+
+void SiteFixture::startNode(std::size_t n) {
+  machines[n]->node = std::make_unique<ChildProcess>(
+      std::vector<std::string>{binFolder() + "/plantainhatchd", "--settings",
+                               machines[n]->settingsFile},
+      files.write("node-" + std::to_string(n) + ".log", ""));
+}
+
+void SiteFixture::writeRow(const std::string &key,
+                           const std::optional<std::string> &value) {
+  json order{{"table", "op"}, {"key", key}};
+  if (value)
+    order["value"] = *value;
+  http.send(store, "POST", "/standin/set-row", {}, order.dump());
+}
+
+unsigned SiteFixture::beat(std::size_t n, const std::string &state) {
+  SiteMachine &machine = *machines[n];
+  return http
+      .send(machine.targets, "PUT", "/instances/" + machine.target->name(), {},
+            machine.target->heartbeat(state).dump())
+      .status;
+}
+
+std::shared_ptr<HttpAnswer>
+SiteFixture::callLater(std::size_t n, const std::string &method,
+                       const std::string &path, const std::string &id,
+                       std::chrono::milliseconds deadline) {
+  auto answer = std::make_shared<HttpAnswer>();
+  CallRequest request;
+  request.method = method;
+  request.target = path;
+  request.headers = {{"Host", "h.example"},
+                     {IdHeader, id},
+                     {"X-Plantainhatch-Deadline-Milliseconds",
+                      std::to_string(deadline.count())}};
+  if (method == "POST")
+    request.body = "body";
+  const auto exchange = std::make_shared<boost::intrusive_ptr<Exchange>>();
+  *exchange =
+      Exchange::start(&session, request, {machines[n]->callers, {}, true},
+                      [answer, exchange](const Exchange::Result &result) {
+                        const auto *const head =
+                            std::get_if<AnswerHead>(&result);
+                        if (head == nullptr) {
+                          answer->status = 1;
+                          return;
+                        }
+                        answer->headers = head->headers;
+                        readAnswer(*exchange, answer, head->status);
+                      });
+  return answer;
+}
+
+HttpAnswer SiteFixture::call(std::size_t n, const std::string &method,
+                             const std::string &path, const std::string &id,
+                             std::chrono::milliseconds deadline) {
+  const auto answer = callLater(n, method, path, id, deadline);
+  Fleet::waitUntil([&] { return answer->status != 0; });
+  return *answer;
+}
+
+bool SiteFixture::isReady(std::size_t n) {
+  return http.get(machines[n]->readiness, "/readiness").status == 200;
+}
+
+unsigned SiteFixture::runsOf(const std::string &id) const {
+  return std::accumulate(machines.begin(), machines.end(), 0U,
+                         [&](unsigned sum, const auto &it) {
+                           return sum + it->target->runsOf(id);
+                         });
+}
+
+} // namespace plantainhatch::test
--- /dev/null
+++ b/test/platform/SiteFixture.h
@@ -0,0 +1,123 @@
+/** \file
+ * Nodes at a site of the platform, with stand-ins for all around them. */
+#ifndef PLANTAINHATCH_TEST_PLATFORM_SITEFIXTURE_H
+#define PLANTAINHATCH_TEST_PLATFORM_SITEFIXTURE_H
+
+#include "connection/Exchange.h"
+#include "connection/HttpServer.h"
+#include "support/Fleet.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace plantainhatch::test {
+
+/** A worker of the platform, in this process. */
+class SiteTarget {
+public:
+  /** How calls are answered. */
+  enum class Manner : std::uint8_t {
+    Answer,
+    Fail,
+    /** With the identifier of another request. */
+    Foreign,
+    Unsigned,
+    /** Half of the body, then a reset. */
+    BreakOff,
+    Shed,
+    /** Not until release(). */
+    Hold
+  };
+
+  SiteTarget(const Address &address, std::string service, std::string name);
+
+  void setManner(Manner newManner) { manner = newManner; }
+  /** Answers what is held. */
+  void release();
+
+  /** How often a request was begun. */
+  unsigned runsOf(const std::string &requestId) const;
+  unsigned runCount() const;
+  std::size_t heldCount() const { return held.size(); }
+  /** The headers of the last call. */
+  const HeaderList &lastHeaders() const { return seenHeaders; }
+  const std::string &name() const { return targetName; }
+  nlohmann::json heartbeat(const std::string &state);
+
+private:
+  Address address;
+  std::string service;
+  std::string targetName;
+  Manner manner = Manner::Answer;
+  std::map<std::string, unsigned> runs;
+  std::vector<IncomingCallPtr> held;
+  HeaderList seenHeaders;
+  std::uint64_t sequence = 0;
+  std::unique_ptr<HttpServer> server;
+
+  void serve(const IncomingCallPtr &call);
+  void answerCall(const IncomingCallPtr &call, const std::string &id);
+};
+
+/** One machine of the site. */
+struct SiteMachine {
+  Address callers;
+  Address peers;
+  Address targets;
+  Address forwards;
+  Address readiness;
+  Address metrics;
+  Address targetAddress;
+  std::string settingsFile;
+  std::unique_ptr<SiteTarget> target;
+  std::unique_ptr<ChildProcess> node;
+};
+
+/** A store, machines, and an operator. Its destructor ends what it started. */
+class SiteFixture {
+public:
+  /** \param failureDomains has one entry for each machine. */
+  explicit SiteFixture(const std::vector<std::string> &failureDomains);
+
+  /** Writes a configuration and waits until all nodes are ready and know all
+   * targets. \return false if that takes too long. */
+  bool start();
+  void startNode(std::size_t n);
+  /** Writes a row of the operator's table; removes it without a value. */
+  void writeRow(const std::string &key,
+                const std::optional<std::string> &value);
+  /** Sends a heartbeat. \return the status of the answer. */
+  unsigned beat(std::size_t n, const std::string &state);
+
+  /** Sends a call with an identifier and waits for its whole answer. */
+  HttpAnswer call(std::size_t n, const std::string &method,
+                  const std::string &path, const std::string &id,
+                  std::chrono::milliseconds deadline = std::chrono::seconds(2));
+  /** The same without waiting. */
+  std::shared_ptr<HttpAnswer>
+  callLater(std::size_t n, const std::string &method, const std::string &path,
+            const std::string &id,
+            std::chrono::milliseconds deadline = std::chrono::seconds(2));
+  bool isReady(std::size_t n);
+  /** Runs of a request at all targets. */
+  unsigned runsOf(const std::string &id) const;
+
+  std::vector<std::unique_ptr<SiteMachine>> machines;
+  HttpClient http;
+
+private:
+  Fleet files;
+  Address store;
+  std::unique_ptr<ChildProcess> storeProcess;
+  HttpSession session;
+
+  void writeSettings(SiteMachine &machine, const std::string &failureDomain);
+};
+
+} // namespace plantainhatch::test
+
+#endif
--- /dev/null
+++ b/test/platform/SitePathTest.cpp
@@ -0,0 +1,218 @@
+/** \file
+ * The whole path at a site of the platform, with real nodes on loopback. */
+#include "operator/MainLoop.h"
+#include "platform/SiteFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+
+using namespace plantainhatch;
+using namespace plantainhatch::test;
+using Manner = SiteTarget::Manner;
+using std::chrono::milliseconds;
+
+TEST_GROUP(SitePath) {
+  SiteFixture site{{"zone-0", "zone-0", "zone-1"}};
+
+  void setAll(Manner manner) {
+    for (const auto &it : site.machines)
+      it->target->setManner(manner);
+  }
+};
+
+TEST(SitePath, CallsAreServedFromEachMachineWithWhatTargetsExpect) {
+  CHECK(site.start());
+  for (std::size_t n = 0; n < site.machines.size(); ++n) {
+    const std::string id = "served-" + std::to_string(n);
+    const auto answer = site.call(n, "GET", "/read/x?q=1", id);
+    CHECK_EQUAL(200, answer.status);
+    STRCMP_EQUAL(("whole " + id).c_str(), answer.body.c_str());
+    CHECK_EQUAL(1, site.runsOf(id));
+  }
+  const auto at = std::ranges::find_if(
+      site.machines, [](const auto &it) { return it->target->runCount() > 0; });
+  const HeaderList &seen = (*at)->target->lastHeaders();
+  STRCMP_EQUAL("shop",
+               findHeader(seen, "X-Plantainhatch-Caller-Service")->c_str());
+  STRCMP_EQUAL((*at)->target->name().c_str(),
+               findHeader(seen, "X-Plantainhatch-Expected-Instance")->c_str());
+  CHECK(std::stoi(*findHeader(seen, "X-Plantainhatch-Deadline-Milliseconds")) <=
+        2000);
+}
+
+TEST(SitePath, NodeWithoutAConfigurationPromisesThatNothingRan) {
+  site.startNode(0);
+  CHECK(Fleet::waitUntil([&] {
+    return site.http.get(site.machines[0]->readiness, "/readiness").status ==
+           503;
+  }));
+  const auto answer = site.call(0, "GET", "/read/x", "early");
+  CHECK_EQUAL(503, answer.status);
+  CHECK_FALSE(answer.header("Retry-After").empty());
+}
+
+TEST(SitePath, RouteThatNoConfigurationNamesIsNotFound) {
+  CHECK(site.start());
+  CHECK_EQUAL(404, site.call(0, "GET", "/other/x", "lost").status);
+  CHECK_EQUAL(400, site.call(0, "GET", "/read/x", "").status);
+}
+
+TEST(SitePath, WrongAnswersToSafeCallsAreTriedElsewhere) {
+  CHECK(site.start());
+  for (const Manner manner : {Manner::Foreign, Manner::Unsigned,
+                              Manner::BreakOff, Manner::Fail, Manner::Shed}) {
+    setAll(Manner::Answer);
+    // Two of three give wrong answers, so that most calls meet one of them.
+    site.machines[0]->target->setManner(manner);
+    site.machines[1]->target->setManner(manner);
+    for (unsigned n = 0; n < 6; ++n) {
+      const std::string id = "safe-" +
+                             std::to_string(static_cast<int>(manner)) + "-" +
+                             std::to_string(n);
+      const auto answer = site.call(2, "GET", "/read/x", id);
+      if (answer.status == 200)
+        STRCMP_EQUAL(("whole " + id).c_str(), answer.body.c_str());
+      CHECK(site.runsOf(id) <= 2);
+    }
+  }
+}
+
+TEST(SitePath, UnsafeCallsRunOnceWhateverComesBack) {
+  CHECK(site.start());
+  for (const Manner manner :
+       {Manner::Foreign, Manner::Unsigned, Manner::BreakOff, Manner::Fail}) {
+    setAll(manner);
+    const std::string id = "unsafe-" + std::to_string(static_cast<int>(manner));
+    const auto answer = site.call(0, "POST", "/write/x", id);
+    CHECK_EQUAL(1, site.runsOf(id));
+    CHECK_EQUAL(manner == Manner::Fail ? 500 : 502, answer.status);
+  }
+}
+
+TEST(SitePath, UnsafeCallThatAllTargetsShedIsRefusedWithAPromise) {
+  CHECK(site.start());
+  setAll(Manner::Shed);
+  const auto answer = site.call(0, "POST", "/write/x", "shed");
+  CHECK_EQUAL(503, answer.status);
+  CHECK_FALSE(answer.header("Retry-After").empty());
+  CHECK_EQUAL(0, site.runsOf("shed"));
+}
+
+TEST(SitePath, LeavingTargetGetsNothingFromTheAcknowledgementOn) {
+  CHECK(site.start());
+  CHECK_EQUAL(200, site.beat(0, "draining"));
+  const unsigned before = site.machines[0]->target->runCount();
+  for (unsigned n = 0; n < 12; ++n)
+    CHECK_EQUAL(200, site.call(n % 3, "GET", "/read/x",
+                               "after-leave-" + std::to_string(n))
+                         .status);
+  CHECK_EQUAL(before, site.machines[0]->target->runCount());
+  // A heartbeat that was held up does not bring it back.
+  CHECK_EQUAL(200, site.beat(0, "ready"));
+  CHECK_EQUAL(200, site.call(0, "GET", "/read/x", "late-beat").status);
+  CHECK_EQUAL(before, site.machines[0]->target->runCount());
+}
+
+TEST(SitePath, EvacuatedDomainGetsNothingUntilItIsTakenBack) {
+  CHECK(site.start());
+  site.writeRow("evacuate/zone-0", "{}");
+  const auto domainsOut = [&](std::size_t n) {
+    return nlohmann::json::parse(
+               site.http
+                   .get(site.machines[n]->forwards, "/plantainhatch/v1/status")
+                   .body,
+               nullptr, false)
+        .value("version", 0);
+  };
+  const int first = domainsOut(2);
+  CHECK(Fleet::waitUntil([&] {
+    return domainsOut(0) >= first && domainsOut(1) >= first &&
+           site.call(0, "GET", "/read/x", "wait").status == 200 &&
+           site.machines[2]->target->runsOf("wait") > 0;
+  }));
+  CHECK(Fleet::waitUntil([&] {
+    const unsigned before = site.machines[2]->target->runCount();
+    for (unsigned n = 0; n < 6; ++n)
+      site.call(n % 3, "GET", "/read/x", "out-" + std::to_string(n));
+    return site.machines[2]->target->runCount() == before + 6;
+  }));
+  site.writeRow("evacuate/zone-0", std::nullopt);
+  CHECK(Fleet::waitUntil([&] {
+    site.call(0, "GET", "/read/x", "back");
+    return site.machines[0]->target->runsOf("back") +
+               site.machines[1]->target->runsOf("back") >
+           0;
+  }));
+}
+
+TEST(SitePath, StoppingNodeFinishesWhatItHasAndWelcomesNobody) {
+  CHECK(site.start());
+  setAll(Manner::Hold);
+  const auto answer = site.callLater(0, "GET", "/read/x", "in-progress",
+                                     std::chrono::seconds(5));
+  CHECK(Fleet::waitUntil([&] { return site.runsOf("in-progress") == 1; }));
+  site.machines[0]->node->signal(SIGTERM);
+  CHECK(Fleet::waitUntil([&] { return !site.isReady(0); }));
+  for (const auto &it : site.machines)
+    it->target->release();
+  CHECK(Fleet::waitUntil([&] { return answer->status != 0; }));
+  CHECK_EQUAL(200, answer->status);
+  CHECK_EQUAL(0, site.machines[0]->node->wait());
+}
+
+TEST(SitePath, CallerThatLeavesIsNotServedAnyMore) {
+  CHECK(site.start());
+  setAll(Manner::Hold);
+  CallRequest request;
+  request.method = "GET";
+  request.target = "/read/x";
+  request.headers = {{"Host", "h.example"},
+                     {"X-Plantainhatch-Request-Attempt-Id", "left"},
+                     {"X-Plantainhatch-Deadline-Milliseconds", "1500"}};
+  HttpSession session;
+  const auto exchange =
+      Exchange::start(&session, request, {site.machines[0]->callers, {}, true},
+                      [](const Exchange::Result & /*result*/) {});
+  CHECK(Fleet::waitUntil([&] { return site.runsOf("left") == 1; }));
+  exchange->cancel();
+  CHECK(Fleet::waitUntil([&] {
+    const auto text =
+        site.http.get(site.machines[0]->metrics, "/plantainhatch/v1/metrics");
+    return text.body.find("calls_abandoned_total 1") != std::string::npos;
+  }));
+  pause(milliseconds(100));
+  CHECK_EQUAL(1, site.runsOf("left"));
+}
+
+TEST(SitePath, PipelinedRequestsAreAnsweredInTheirOrder) {
+  CHECK(site.start());
+  const auto one = [](const char *id, const char *connection) {
+    return std::string("GET /read/x HTTP/1.1\r\nHost: h.example\r\n"
+                       "X-Plantainhatch-Request-Attempt-Id: ") +
+           id +
+           "\r\nX-Plantainhatch-Deadline-Milliseconds: 2000\r\nConnection: " +
+           connection + "\r\n\r\n";
+  };
+  const auto answer = std::make_shared<std::string>();
+  auto socket = StreamSocket::connect(site.machines[0]->callers);
+  CHECK(socket.has_value());
+  pause(milliseconds(20));
+  CHECK(socket->write(one("p1", "keep-alive") + one("p2", "keep-alive") +
+                      one("p3", "close")));
+  CHECK(Fleet::waitUntil([&] {
+    return socket->read(*answer, 65'536) == StreamSocket::ReadResult::End;
+  }));
+  const auto first = answer->find("whole p1");
+  const auto second = answer->find("whole p2");
+  const auto third = answer->find("whole p3");
+  CHECK(first < second);
+  CHECK(second < third);
+  CHECK(third != std::string::npos);
+}
+
+TEST(SitePath, SettingsThatChangeAreCheckedAndTheNodeGoesOn) {
+  CHECK(site.start());
+  site.machines[0]->node->signal(SIGHUP);
+  CHECK_EQUAL(200, site.call(0, "GET", "/read/x", "after-hup").status);
+}
--- a/test/standins/Platform.cpp
+++ b/test/standins/Platform.cpp
@@ -233,8 +233,8 @@
   std::set<std::string> parts;
   for (const auto &[place, row] : tables[name])
     parts.insert(place.first);
-  answer(call, 200, {},
-         stamped({{"parts", parts}, {"has_more", false}}).dump(), false);
+  answer(call, 200, {}, stamped({{"parts", parts}, {"has_more", false}}).dump(),
+         false);
 }
 
 void Platform::follow(const IncomingCallPtr &call) {
@@ -309,8 +309,7 @@
 }
 
 void Platform::write(const std::string &table, const std::string &part,
-                     const std::string &key,
-                     std::optional<std::string> value) {
+                     const std::string &key, std::optional<std::string> value) {
   if (value)
     tables[table][{part, key}] = {*value, version};
   else
--- a/test/standins/Platform.h
+++ b/test/standins/Platform.h
@@ -20,10 +20,10 @@
 namespace plantainhatch::test {
 
 /** Rows with versions, transactions, a feed of changes, and objects, all in
- * memory. Faults are switched on by POST /standin/control {"mode": "up" | "down" | "slow" |
- * "late" | "lose"}: "lose" carries writes out and closes the connection instead
- * of answering; "slow" answers "delayMs" after it has carried out; "late"
- * carries out that much later. */
+ * memory. Faults are switched on by POST /standin/control {"mode": "up" |
+ * "down" | "slow" | "late" | "lose"}: "lose" carries writes out and closes the
+ * connection instead of answering; "slow" answers "delayMs" after it has
+ * carried out; "late" carries out that much later. */
 class Platform {
 public:
   /** Listens. \return the stand-in, or findings if the address cannot be used.
