--- a/src/operator/explainRequest.cpp
+++ b/src/operator/explainRequest.cpp
@@ -58,7 +58,7 @@
   };
   const auto first = std::ranges::find_if(lines, isOfRequest);
   if (first == lines.end())
-    return {ExitCode::Failed,
+    return {ExitCode::Refused,
             {},
             "no line is about request '" + requestId +
                 "'; served requests are written in part only\n"};
