--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -69,6 +69,7 @@
   site.target = reader.requireAddress("target");
   site.service = reader.requireName("service");
   site.stopGrace = readMilliseconds(reader, "stopGraceMs");
+  site.coldOverage = reader.requireNumber("coldOverage", 1, MostRate);
   site.coldSlack = reader.requireNumber("coldSlack", 0, MostRate);
   site.retryRatio = reader.requireNumber("retryRatio", 0, 1);
   site.retryExtra = reader.requireNumber("retryExtra", 0, MostRate);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -29,7 +29,9 @@
   std::string service;
   /** From the order to stop until the platform ends the process. */
   std::chrono::milliseconds stopGrace{0};
-  /** What a cold target may get in a second above its announced rate. */
+  /** In any second a cold target may get its announced rate times this, and the
+   * slack besides. */
+  double coldOverage = 1;
   double coldSlack = 0;
   /** Repeats that all nodes together may send in RetryWindow, as a share of a
    * service's calls, and besides that. */
