--- a/test/platform/SitePathTest.cpp
+++ b/test/platform/SitePathTest.cpp
@@ -161,6 +161,27 @@
   CHECK_EQUAL(0, site.machines[0]->node->wait());
 }
 
+TEST(SitePath, CallThatComesLateToAStoppingNodeIsRefusedWithAPromise) {
+  CHECK(site.start());
+  setAll(Manner::Hold);
+  const auto held =
+      site.callLater(0, "GET", "/read/x", "held", std::chrono::seconds(5));
+  CHECK(Fleet::waitUntil([&] { return site.runsOf("held") == 1; }));
+  setAll(Manner::Answer);
+  site.machines[0]->node->signal(SIGTERM);
+  unsigned n = 0;
+  std::string late;
+  CHECK(Fleet::waitUntil([&] {
+    late = "late-" + std::to_string(n++);
+    return site.call(0, "GET", "/read/x", late).status == 503;
+  }));
+  CHECK_EQUAL(0, site.runsOf(late));
+  for (const auto &it : site.machines)
+    it->target->release();
+  CHECK(Fleet::waitUntil([&] { return held->status != 0; }));
+  CHECK_EQUAL(200, held->status);
+}
+
 TEST(SitePath, CallerThatLeavesIsNotServedAnyMore) {
   CHECK(site.start());
   setAll(Manner::Hold);
