--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -82,7 +82,7 @@
 }
 
 void ConfigurationTask::onHead(const RowResult &row, TimePoint askedAt) {
-  setStoreUp(row.result != StoreResult::Unknown);
+  setStoreUp(row.result != StoreResult::Unknown, "read of the head row");
   if (row.result == StoreResult::Unknown) {
     backoff = std::min<std::chrono::milliseconds>(
         std::max(FirstBackoff, backoff * 2), MaxBackoff);
@@ -205,7 +205,7 @@
   return {keeper.updateFor(request.version, request.digest)};
 }
 
-void ConfigurationTask::setStoreUp(bool isUp) {
+void ConfigurationTask::setStoreUp(bool isUp, const std::string &cause) {
   if (isUp == storeUp)
     return;
   storeUp = isUp;
@@ -213,7 +213,7 @@
                   services.settings.platform,
                   isUp ? "the platform answers again"
                        : "the platform does not answer",
-                  "read of the head row");
+                  cause);
 }
 
 void ConfigurationTask::finishAdoption(AdoptResult result,
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -57,6 +57,8 @@
   /** Pauses of this process, and whether it may trust its configuration. */
   FreshnessGuard &freshness() { return guard; }
   bool isStoreUp() const { return storeUp; }
+  /** The platform has answered, or has not; \p cause says what was asked. */
+  void setStoreUp(bool isUp, const std::string &cause);
 
 private:
   NodeServices &services;
@@ -81,7 +83,6 @@
   void readText(const ConfigurationHead &head);
   void repairHead(const std::string &storedEtag);
   void pull(const Address &peer);
-  void setStoreUp(bool isUp);
   void finishAdoption(AdoptResult result, const ConfigurationPtr &before,
                       const std::string &source);
   void recordMoves(const ConfigurationPtr &before);
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -89,7 +89,7 @@
 Admission Gate::admit(const GateRequest &request, TimePoint now) {
   const Refusal refusal = reasonToRefuse(request, now);
   if (refusal != Refusal::None)
-    return {Admission::Kind::Refused, refusal};
+    return {Admission::Kind::Refused, refusal, std::nullopt};
   if (queue.empty() && hasRoom(now)) {
     start(request, now);
     return {Admission::Kind::Admitted, Refusal::None, std::nullopt};
