--- a/src/version/Configuration.cpp
+++ b/src/version/Configuration.cpp
@@ -50,8 +50,10 @@
   configuration->rulesText = std::move(text);
   for (Rule &rule : rules)
     std::visit([&](auto &it) { configuration->addRule(std::move(it)); }, rule);
-  for (TargetTraits &it : traits)
-    configuration->targetTraits[it.service] = it;
+  for (TargetTraits &it : traits) {
+    std::string service = it.service;
+    configuration->targetTraits.emplace(std::move(service), std::move(it));
+  }
   configuration->sortServices();
   return ConfigurationPtr(configuration);
 }
