Let calls that find only cold targets wait for one, as the gate's rate allows

Cause: after all machines came back cold, calls were refused after one target with its queue empty. A call that only cold targets refused starts over once with leave to wait, and the gate holds its wait, by the rate, against the deadline.

Ruled out: that the queue makes calls wait until their deadline (refused at once with deadline-too-close where the rate would reach them too late).

--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -114,6 +114,7 @@
 
 void Gate::setCold(const ColdAllowance &allowance, TimePoint until) {
   coldUntil = until;
+  coldRate = allowance.callsPerSecond;
   coldCalls.reshape(allowance.callsPerSecond, allowance.burst);
 }
 
@@ -227,7 +228,11 @@
   const auto turns = static_cast<Duration::rep>(waiting);
   const auto width = static_cast<Duration::rep>(std::max(1U, limit()));
   const Duration wait = gateLimit.latency() * turns / width;
-  return now + wait < request.deadline;
+  const std::chrono::duration<double> coldWait{
+      isRateLimited(now) && coldRate > 0 ? static_cast<double>(turns) / coldRate
+                                         : 0.0};
+  return now + std::max(wait, std::chrono::duration_cast<Duration>(coldWait)) <
+         request.deadline;
 }
 
 void Gate::start(const GateRequest &request, TimePoint now) {
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -209,6 +209,7 @@
   double slowdownFactor = 1;
   FailureRate failures;
   TimePoint coldUntil;
+  double coldRate = 0;
   TokenBucket coldCalls{0, 0};
   TimePoint completedAt;
 
--- a/src/request/CallDecision.cpp
+++ b/src/request/CallDecision.cpp
@@ -23,8 +23,9 @@
 CallAction CallDecision::onNoChoice() {
   if (!pending.empty())
     return WaitAction{};
-  // All targets that refused were full: the call may wait for one of them.
-  const bool wasFull = lastRefusal == Refusal::Full && refusals > 0;
+  // All targets that refused had no room: the call may wait for one of them.
+  const bool wasFull = refusals > 0 && (lastRefusal == Refusal::Full ||
+                                        lastRefusal == Refusal::ColdRate);
   if (wasFull && !hasStartedOver && !hasFailed) {
     hasStartedOver = true;
     triedTargets.clear();
--- a/test/correctness/LoadShiftTest.cpp
+++ b/test/correctness/LoadShiftTest.cpp
@@ -218,6 +218,29 @@
   CHECK_EQUAL(1, gate.poll(Start + milliseconds(150)).size());
 }
 
+TEST(LoadShift, CallThatFindsOnlyColdTargetsMayWaitForOne) {
+  RetryBudget budget({1, 100});
+  CallDecision call(false, Start + seconds(1), budget, 2);
+  call.start();
+  call.onForwarded(First);
+  CHECK(std::holds_alternative<ForwardAction>(
+      call.onRefused(First, Refusal::ColdRate, Start)));
+  const CallAction action = call.onNoChoice();
+  const auto *const again = std::get_if<ForwardAction>(&action);
+  CHECK(again != nullptr);
+  CHECK(again->mayQueue);
+}
+
+TEST(LoadShift, CallThatAColdTargetReachesTooLateIsRefusedAtOnce) {
+  gate.announce(makeWarmTarget(12));
+  gate.setCold({2, 2}, Start + seconds(30));
+  GateRequest hasty = makeRequest(1, 1);
+  hasty.deadline = Start + milliseconds(400);
+  CHECK(gate.admit(hasty, Start).refusal == Refusal::DeadlineTooClose);
+  hasty.deadline = Start + milliseconds(600);
+  CHECK(gate.admit(hasty, Start).kind == Admission::Kind::Queued);
+}
+
 TEST(LoadShift, ColdnessEndsWhenItWasSaidToEnd) {
   gate.announce(makeWarmTarget(12));
   gate.setCold({1, 2}, Start + seconds(2));
