Ask others about requests that only one node keeps quarantined

Cause: the notice that a suspected request was answered in full is one datagram. A node that missed it kept the request quarantined for ten minutes, refused it and had it refused by its gate for others, while the rest of the fleet served it. Ruled out: readiness, version and membership, which were whole at that node.

A node asks three others each 2 s about what it has quarantined; gates remember their last 1,024 full answers and clear what was answered since the last death. Deaths that are found out late no longer blame what was answered since.

--- a/src/node/CrashTask.cpp
+++ b/src/node/CrashTask.cpp
@@ -24,6 +24,7 @@
     : services(services), peers(peers), configuration(configuration) {
   expiryTimer.startRepeating(
       ExpiryInterval, [this] { quarantine.expire(NodeServices::now()); });
+  reviewTimer.startRepeating(ReviewInterval, [this] { review(); });
 }
 
 bool CrashTask::isQuarantined(std::uint64_t fingerprint) const {
@@ -103,6 +104,10 @@
 }
 
 void CrashTask::report(std::unique_ptr<Inquiry> crash) {
+  // A death may be found out late, when the target starts anew.
+  std::erase_if(crash->fingerprints, [&](std::uint64_t it) {
+    return quarantine.wasAnsweredSince(it, crash->startedAt);
+  });
   const std::uint64_t sequence = nextSequence++;
   const CrashReport message{sequence, services.settings.peers, crash->bootId,
                             crash->fingerprints};
@@ -144,10 +149,9 @@
 }
 
 void CrashTask::onAnsweredInFull(std::uint64_t fingerprint) {
-  if (!quarantine.clear(fingerprint))
+  if (!quarantine.onAnswered(fingerprint, NodeServices::now()))
     return;
-  services.record(EventKind::RequestCleared, toText(fingerprint),
-                  "is not suspected any more", "answered in full");
+  onCleared(fingerprint, "answered in full");
   if (!peers.membership().self().target.isServing())
     return;
   for (const Address &peer :
@@ -156,6 +160,40 @@
       peers.sendBare(peer, CrashCleared{fingerprint});
 }
 
+void CrashTask::onCleared(std::uint64_t fingerprint, const std::string &cause) {
+  services.record(EventKind::RequestCleared, toText(fingerprint),
+                  "is not suspected any more", cause);
+}
+
+void CrashTask::review() {
+  const ControlScope scope(services.metrics);
+  auto entries = quarantine.list(NodeServices::now());
+  std::erase_if(entries, [](const auto &it) { return !it.isQuarantined; });
+  if (entries.empty())
+    return;
+  std::ranges::shuffle(entries, services.random);
+  entries.resize(std::min(entries.size(), MaxReviews));
+  std::set<Address> known =
+      peers.index().candidatesOf(peers.membership().self().target.service);
+  known.erase(services.settings.peers);
+  std::vector<Address> asked;
+  std::ranges::sample(known, std::back_inserter(asked), ReviewFanout,
+                      services.random);
+  for (const Quarantine::Entry &entry : entries) {
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(entry.age);
+    for (const Address &it : asked)
+      peers.sendBare(it, CrashReview{entry.fingerprint,
+                                     static_cast<std::uint32_t>(age.count())});
+  }
+}
+
+void CrashTask::onReview(const CrashReview &review, const Address &sender) {
+  const TimePoint lastDeath =
+      NodeServices::now() - std::chrono::milliseconds(review.ageMs);
+  if (quarantine.wasAnsweredSince(review.fingerprint, lastDeath))
+    peers.sendBare(sender, CrashCleared{review.fingerprint});
+}
+
 void CrashTask::onMessage(const Message &message) {
   if (const auto *const crash = std::get_if<CrashReport>(&message.body)) {
     absorb(*crash);
@@ -164,7 +202,12 @@
     onAck(message.header.sender, ack->sequence);
   } else if (const auto *const cleared =
                  std::get_if<CrashCleared>(&message.body)) {
-    quarantine.clear(cleared->fingerprint);
+    if (quarantine.clear(cleared->fingerprint))
+      onCleared(cleared->fingerprint,
+                "answered in full at " + message.header.sender.toString());
+  } else if (const auto *const asked =
+                 std::get_if<CrashReview>(&message.body)) {
+    onReview(*asked, message.header.sender);
   }
 }
 
--- a/src/node/CrashTask.h
+++ b/src/node/CrashTask.h
@@ -46,6 +46,14 @@
    * was a crash. */
   static constexpr std::chrono::seconds FailureMemory{10};
 
+  /** How often a node asks others about what it has quarantined: a notice that
+   * a request was answered in full may have been lost. */
+  static constexpr std::chrono::seconds ReviewInterval{2};
+  /** Nodes that are asked each time. */
+  static constexpr std::size_t ReviewFanout = 3;
+  /** Requests that are asked about each time. */
+  static constexpr std::size_t MaxReviews = 8;
+
   /** Told whether the target has died. Called once. */
   using Verdict = std::function<void(bool didTargetDie)>;
 
@@ -101,6 +109,7 @@
   std::map<std::uint64_t, std::unique_ptr<Spread>> spreads;
   std::uint64_t nextSequence = 1;
   Timer expiryTimer;
+  Timer reviewTimer;
   Timer probeTimer;
   Timer lateProbeTimer;
   std::shared_ptr<CrashTask *> alive = std::make_shared<CrashTask *>(this);
@@ -110,6 +119,9 @@
   void pardon();
   void report(std::unique_ptr<Inquiry> crash);
   void absorb(const CrashReport &report);
+  void review();
+  void onReview(const CrashReview &review, const Address &sender);
+  void onCleared(std::uint64_t fingerprint, const std::string &cause);
   void onAck(const Address &sender, std::uint64_t sequence);
   void continueSpread(std::uint64_t sequence);
   void finishSpread(std::uint64_t sequence);
--- a/src/process/Message.h
+++ b/src/process/Message.h
@@ -102,10 +102,21 @@
   }
 };
 
+/** Asks whether a request with this fingerprint was answered in full within the
+ * last \c ageMs, which is the time since the last death that it is blamed for.
+ * Answered by a CrashCleared if so. */
+struct CrashReview {
+  std::uint64_t fingerprint = 0;
+  std::uint32_t ageMs = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(fingerprint, ageMs);
+  }
+};
+
 /** The body of a datagram. */
 using MessageBody =
     std::variant<Ping, Ack, PingRequest, Notice, LoadProbe, LoadReport,
-                 CrashReport, CrashAck, CrashCleared>;
+                 CrashReport, CrashAck, CrashCleared, CrashReview>;
 
 /** What precedes each body. */
 struct MessageHeader {
--- a/src/process/Quarantine.cpp
+++ b/src/process/Quarantine.cpp
@@ -19,6 +19,20 @@
   return quarantined;
 }
 
+bool Quarantine::onAnswered(std::uint64_t fingerprint, TimePoint now) {
+  answers.push_back({fingerprint, now});
+  if (answers.size() > MaxAnswers)
+    answers.pop_front();
+  return clear(fingerprint);
+}
+
+bool Quarantine::wasAnsweredSince(std::uint64_t fingerprint,
+                                  TimePoint since) const {
+  return std::ranges::any_of(answers, [&](const Answer &it) {
+    return it.fingerprint == fingerprint && it.at >= since;
+  });
+}
+
 bool Quarantine::clear(std::uint64_t fingerprint) {
   return suspicions.erase(fingerprint) > 0;
 }
@@ -38,10 +52,10 @@
 std::vector<Quarantine::Entry> Quarantine::list(TimePoint now) const {
   std::vector<Entry> entries;
   for (const auto &[fingerprint, suspicion] : suspicions) {
-    const Duration remaining =
-        std::max(Duration{}, Lifetime - (now - suspicion.lastAt));
+    const Duration age = now - suspicion.lastAt;
     entries.push_back({fingerprint, suspicion.crashes.size(),
-                       suspicion.crashes.size() >= CrashLimit, remaining});
+                       suspicion.crashes.size() >= CrashLimit,
+                       std::max(Duration{}, Lifetime - age), age});
   }
   return entries;
 }
--- a/src/process/Quarantine.h
+++ b/src/process/Quarantine.h
@@ -7,6 +7,7 @@
 #include "base/Time.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -21,6 +22,8 @@
 public:
   static constexpr std::size_t CrashLimit = 2;
   static constexpr std::chrono::minutes Lifetime{10};
+  /** Answers that are remembered: many seconds of one target's work. */
+  static constexpr std::size_t MaxAnswers = 1024;
 
   /** One start of one target. */
   using Crash = std::pair<Address, std::string>;
@@ -31,10 +34,17 @@
   onCrash(const Crash &crash, const std::vector<std::uint64_t> &fingerprints,
           TimePoint now);
 
-  /** A request was answered in full, so it is not to blame.
+  /** A request was answered in full here, so it is not to blame.
    * \return true if it was suspected, so that others should be told. */
+  bool onAnswered(std::uint64_t fingerprint, TimePoint now);
+
+  /** A request was answered in full elsewhere. \return as for onAnswered(). */
   bool clear(std::uint64_t fingerprint);
 
+  /** True if the request is known to have been answered in full here at \p
+   * since or later. */
+  bool wasAnsweredSince(std::uint64_t fingerprint, TimePoint since) const;
+
   /** True if the request must not be handed to a target. */
   bool isQuarantined(std::uint64_t fingerprint, TimePoint now) const;
 
@@ -47,6 +57,8 @@
     std::size_t crashes = 0;
     bool isQuarantined = false;
     Duration remaining{};
+    /** Since the last death. */
+    Duration age{};
   };
   /** All suspected and quarantined requests. */
   std::vector<Entry> list(TimePoint now) const;
@@ -56,7 +68,13 @@
     std::set<Crash> crashes;
     TimePoint lastAt;
   };
+  struct Answer {
+    std::uint64_t fingerprint = 0;
+    TimePoint at;
+  };
   std::map<std::uint64_t, Suspicion> suspicions;
+  /** The newest last. */
+  std::deque<Answer> answers;
 };
 
 } // namespace plantainhatch
--- a/test/correctness/ProcessStateTest.cpp
+++ b/test/correctness/ProcessStateTest.cpp
@@ -50,6 +50,19 @@
   CHECK_FALSE(quarantine.isQuarantined(7, Start));
 }
 
+TEST(ProcessState, AnswersAreRememberedWithTheirTimeAndBounded) {
+  Quarantine quarantine;
+  quarantine.onCrash(FirstCrash, {7}, Start);
+  CHECK(quarantine.onAnswered(7, Start + std::chrono::seconds(1)));
+  CHECK_FALSE(quarantine.onAnswered(7, Start + std::chrono::seconds(2)));
+  CHECK(quarantine.wasAnsweredSince(7, Start + std::chrono::seconds(2)));
+  CHECK_FALSE(quarantine.wasAnsweredSince(7, Start + std::chrono::seconds(3)));
+  CHECK_FALSE(quarantine.wasAnsweredSince(8, Start));
+  for (std::size_t n = 0; n < Quarantine::MaxAnswers; ++n)
+    quarantine.onAnswered(9, Start + std::chrono::seconds(3));
+  CHECK_FALSE(quarantine.wasAnsweredSince(7, Start));
+}
+
 TEST(ProcessState, QuarantineExpires) {
   Quarantine quarantine;
   quarantine.onCrash(FirstCrash, {7}, Start);
--- a/test/fault/CrashingRequestTest.cpp
+++ b/test/fault/CrashingRequestTest.cpp
@@ -1,14 +1,57 @@
 /** \file
  * A request that crashes each target, sent again and again. */
+#include "connection/MessageCodec.h"
+#include "connection/PeerSocket.h"
 #include "support/FaultFixture.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainhatch;
 using namespace plantainhatch::test;
 
+namespace {
+
+/** Tells one node alone of two deaths, as if the notice that cleared the
+ * request in between had been lost on its way there. */
+void blame(const Fleet &fleet, std::size_t vm, std::uint64_t fingerprint) {
+  const Address self = freeAddress();
+  auto socket = PeerSocket::bind(self, [](std::string_view) {});
+  const MessageCodec codec(fleet.key());
+  for (const std::uint64_t death : {1, 2}) {
+    Message message;
+    message.header.cluster = "test";
+    message.header.sender = fleet.vms[vm]->peers;
+    message.body = CrashReport{
+        death, self, "boot-" + std::to_string(death), {fingerprint}};
+    socket.value()->send(fleet.vms[vm]->peers, codec.encode(message));
+  }
+}
+
+} // namespace
+
 TEST_GROUP(CrashingRequest){};
 
+TEST(CrashingRequest, AnsweredRequestDoesNotStayQuarantinedAtOneNode) {
+  Fleet fleet(makeStatusPlan(3, 1, 4, std::chrono::milliseconds(2)));
+  CHECK(fleet.start());
+  const auto statusAt = [&](std::size_t vm) {
+    return fleet.http.get(fleet.vms[vm]->callers, "/status/popular").status;
+  };
+  CallRequest popular;
+  popular.method = "GET";
+  popular.target = "/status/popular";
+  blame(fleet, 0, fingerprintOf(popular, "status"));
+  CHECK(Fleet::waitUntil([&] { return statusAt(0) == 503; }));
+  CHECK(Fleet::waitUntil([&] {
+    // Other gates answer it, though the one that was told to refuses it.
+    for (unsigned n = 0; n < 8; ++n)
+      statusAt(1);
+    return statusAt(0) == 200;
+  }));
+}
+
 TEST(CrashingRequest, KillsAtMostTwoTargetsThoughSentThroughEveryNode) {
   for (const char *const method : {"GET", "POST"}) {
     Fleet fleet(makePlan(2, 3));
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -2,6 +2,8 @@
 
 #include "operator/MainLoop.h"
 
+#include <nlohmann/json.hpp>
+
 #include <unistd.h>
 
 #include <algorithm>
@@ -67,7 +69,7 @@
 Fleet::Fleet(FleetPlan newPlan)
     : plan(std::move(newPlan)), folder(makeFolder()) {
   platform = freeAddress();
-  write("cluster.key", "a key that only this test knows\n");
+  write("cluster.key", key());
   json nodes = json::array();
   for (const VmPlan &it : plan.vms) {
     auto vm = std::make_unique<Vm>();
--- a/test/support/Fleet.h
+++ b/test/support/Fleet.h
@@ -8,7 +8,7 @@
 #include "support/ChildProcess.h"
 #include "support/HttpClient.h"
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <functional>
 #include <map>
@@ -103,6 +103,9 @@
   waitUntil(const std::function<bool()> &condition,
             std::chrono::milliseconds limit = std::chrono::seconds(20));
 
+  /** What proves the messages between the nodes. */
+  static std::string key() { return "a key that only this test knows\n"; }
+
   std::vector<Address> callers() const;
   /** Where targets note the idempotency key of each run before it starts. */
   std::string journalFile() const { return folder + "/journal"; }
