--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SUDO := $(if $(filter 0,$(shell id -u)),,sudo)
 SOURCES = $(shell git ls-files '*.h' '*.cpp')
 
-.PHONY: setup build demo test fuzz format format-check lint performance capacity clean
+.PHONY: setup build demo test soak fuzz format format-check lint performance capacity clean
 
 # Installs what is missing, and nothing if all is there.
 setup:
@@ -31,6 +31,12 @@
 test: build
 	cd $(BUILD) && ctest --output-on-failure -j2
 
+# Other seeds: make soak SEED=200 RUNS=10.
+SEED := 1
+RUNS := 50
+soak: build
+	$(BUILD)/bin/soak --seed $(SEED) --runs $(RUNS)
+
 # A bounded number of runs from a fixed seed, so that the verdict is the same
 # each time.
 fuzz: setup
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -6,6 +6,7 @@
 #include "base/Address.h"
 #include "base/Finding.h"
 #include "connection/IncomingCall.h"
+#include "connection/ListeningSocket.h"
 #include "connection/ServerConnection.h"
 
 #include <memory>
@@ -16,7 +17,7 @@
 /** Listens and hands over requests whose body has been read. Requests over the
  * limits are answered here, with the outcome not-run. Used on the main loop
  * only. */
-class HttpServer : private ReadyHandler {
+class HttpServer {
 public:
   using Handler = ServerConnection::Handler;
 
@@ -36,13 +37,11 @@
       boost::intrusive::list<ServerConnection,
                              boost::intrusive::constant_time_size<false>>;
 
-  HttpServer(int fd, Handler handler);
-
-  int fd;
   Handler handler;
+  std::unique_ptr<ListeningSocket> socket;
   ConnectionList connections;
 
-  void onReady(std::uint32_t events) override;
+  explicit HttpServer(Handler handler) : handler(std::move(handler)) {}
 };
 
 } // namespace plantainhatch
--- a/test/platform/SiteFixture.cpp
+++ b/test/platform/SiteFixture.cpp
@@ -2,6 +2,8 @@
 
 #include "operator/MainLoop.h"
 
+#include <nlohmann/json.hpp>
+
 #include <numeric>
 
 namespace plantainhatch::test {
@@ -14,17 +16,19 @@
 constexpr const char *IdHeader = "X-Plantainhatch-Request-Attempt-Id";
 constexpr const char *SignatureHeader = "X-Plantainhatch-Server-Signature";
 
-std::string makeConfiguration() {
+std::string makeConfiguration(unsigned version) {
   const auto route = [](const char *prefix, const char *kind) {
     return json{{"host", "h.example"}, {"prefix", prefix},
                 {"kind", kind},        {"timeout_ms", 8000},
                 {"attempts", 2},       {"priority", 1},
                 {"service", Service},  {"target_latency_ms", 400}};
   };
-  return json{{"version", 1},
+  const std::string own = "/v" + std::to_string(version) + "/";
+  return json{{"version", version},
               {"routes",
                {{"read", route("/read/", "safe")},
-                {"write", route("/write/", "unsafe")}}},
+                {"write", route("/write/", "unsafe")},
+                {"own", route(own.c_str(), "safe")}}},
               {"services",
                {{Service,
                  {{"health_check_path", "/health"},
@@ -56,20 +60,53 @@
                        std::string name)
     : address(address), service(std::move(service)),
       targetName(std::move(name)) {
+  listen();
+}
+
+void SiteTarget::listen() {
   auto listening = HttpServer::listen(
       address, "target", [this](const IncomingCallPtr &call) { serve(call); });
   if (listening)
     server = std::move(listening).value();
 }
 
+void SiteTarget::crash() {
+  server.reset();
+  work.clear();
+  held.clear();
+}
+
+void SiteTarget::restart(std::string name, Duration coldTime) {
+  targetName = std::move(name);
+  ++births;
+  sequence = 0;
+  manner = Manner::Answer;
+  coldUntil = std::chrono::steady_clock::now() + coldTime;
+  listen();
+}
+
+std::chrono::milliseconds SiteTarget::coldLeft() const {
+  return std::max(std::chrono::milliseconds(0),
+                  std::chrono::ceil<std::chrono::milliseconds>(
+                      coldUntil - std::chrono::steady_clock::now()));
+}
+
 void SiteTarget::serve(const IncomingCallPtr &call) {
   if (call->request().path() == "/health") {
     call->reply(200,
                 {{"X-Plantainhatch-Instance-Id", targetName},
+                 {"X-Plantainhatch-Cold-Milliseconds",
+                  std::to_string(coldLeft().count())},
                  {"X-Plantainhatch-Server-Load", "0,0,9,100"}},
                 "");
     return;
   }
+  const auto expected =
+      findHeader(call->request().headers, "X-Plantainhatch-Expected-Instance");
+  if (expected && *expected != targetName) {
+    call->reply(421, {{"X-Plantainhatch-Not-Executed", "1"}}, "");
+    return;
+  }
   const std::string id =
       findHeader(call->request().headers, IdHeader).value_or("");
   seenHeaders = call->request().headers;
@@ -78,12 +115,26 @@
     return;
   }
   ++runs[id];
+  if (runAction)
+    runAction(id);
   if (manner == Manner::Hold)
     held.push_back(call);
+  else if (serviceTime > Duration())
+    answerLater(call, id);
   else
     answerCall(call, id);
 }
 
+void SiteTarget::answerLater(const IncomingCallPtr &call,
+                             const std::string &id) {
+  work.push_back(std::make_unique<Timer>());
+  const auto it = std::prev(work.end());
+  (*it)->startOnce(serviceTime, [this, call, id, it] {
+    work.erase(it);
+    answerCall(call, id);
+  });
+}
+
 void SiteTarget::answerCall(const IncomingCallPtr &call,
                             const std::string &id) {
   const HeaderList signedHeaders{{IdHeader, id}, {SignatureHeader, targetName}};
@@ -131,16 +182,20 @@
       [](unsigned sum, const auto &item) { return sum + item.second; });
 }
 
-json SiteTarget::heartbeat(const std::string &state) {
+json SiteTarget::heartbeat(const std::string &state,
+                           const Address &shownAddress) {
   return {
-      {"address", address.toString()},
-      {"born", 1},
+      {"address", shownAddress.toString()},
+      {"born", births},
       {"information", {{"service", service}, {"version", "v1"}, {"slots", 9}}},
       {"status",
-       {{"state", state}, {"sequence", ++sequence}, {"cold_remaining_ms", 0}}}};
+       {{"state", state},
+        {"sequence", ++sequence},
+        {"cold_remaining_ms", coldLeft().count()}}}};
 }
 
-SiteFixture::SiteFixture(const std::vector<std::string> &failureDomains)
+SiteFixture::SiteFixture(const std::vector<std::string> &failureDomains,
+                         SiteLinks links)
     : files(FleetPlan{}), store(freeAddress()) {
   storeProcess = std::make_unique<ChildProcess>(
       std::vector<std::string>{binFolder() + "/standin-platform",
@@ -153,20 +208,29 @@
           &machine->forwards, &machine->readiness, &machine->metrics,
           &machine->targetAddress})
       *it = freeAddress();
+    machine->failureDomain = domain;
+    machine->shownTarget = machine->targetAddress;
+    machine->shownStore = store;
+    if (links == SiteLinks::Faulty) {
+      machine->shownTarget = freeAddress();
+      machine->shownStore = freeAddress();
+      machine->targetLink =
+          FaultyLink::listen(machine->shownTarget, machine->targetAddress);
+      machine->storeLink = FaultyLink::listen(machine->shownStore, store);
+    }
     machine->target =
         std::make_unique<SiteTarget>(machine->targetAddress, Service,
                                      "i-" + std::to_string(machines.size()));
-    writeSettings(*machine, domain);
+    writeSettings(*machine);
     machines.push_back(std::move(machine));
   }
 }
 
-void SiteFixture::writeSettings(SiteMachine &machine,
-                                const std::string &failureDomain) {
+void SiteFixture::writeSettings(SiteMachine &machine) {
   const json site{{"forwards", machine.forwards.toString()},
                   {"readiness", machine.readiness.toString()},
                   {"metrics", machine.metrics.toString()},
-                  {"target", machine.targetAddress.toString()},
+                  {"target", machine.shownTarget.toString()},
                   {"service", Service},
                   {"stopGraceMs", 6000},
                   {"coldOverage", 1.5},
@@ -175,11 +239,11 @@
                   {"retryExtra", 56},
                   {"probesPerSecond", 60}};
   const json settings{{"cluster", "site"},
-                      {"failureDomain", failureDomain},
+                      {"failureDomain", machine.failureDomain},
                       {"callers", machine.callers.toString()},
                       {"peers", machine.peers.toString()},
                       {"targets", machine.targets.toString()},
-                      {"platform", "http://" + store.toString()},
+                      {"platform", "http://" + machine.shownStore.toString()},
                       {"key", "0123456789abcdef"},
                       {"site", site}};
   machine.settingsFile =
@@ -192,7 +256,7 @@
       [this] { return http.get(store, "/standin/stats").status == 200; });
   if (!isStoreUp)
     return false;
-  writeRow("config", makeConfiguration());
+  writeConfiguration(1);
   for (std::size_t n = 0; n < machines.size(); ++n)
     startNode(n);
   const auto knowsAll = [this](std::size_t n) {
@@ -233,11 +297,19 @@
   http.send(store, "POST", "/standin/set-row", {}, order.dump());
 }
 
+void SiteFixture::writeConfiguration(unsigned version) {
+  writeRow("config", makeConfiguration(version));
+}
+
+void SiteFixture::setStore(const json &order) {
+  http.send(store, "POST", "/standin/control", {}, order.dump());
+}
+
 unsigned SiteFixture::beat(std::size_t n, const std::string &state) {
   SiteMachine &machine = *machines[n];
   return http
       .send(machine.targets, "PUT", "/instances/" + machine.target->name(), {},
-            machine.target->heartbeat(state).dump())
+            machine.target->heartbeat(state, machine.shownTarget).dump())
       .status;
 }
 
@@ -245,7 +317,6 @@
 SiteFixture::callLater(std::size_t n, const std::string &method,
                        const std::string &path, const std::string &id,
                        std::chrono::milliseconds deadline) {
-  auto answer = std::make_shared<HttpAnswer>();
   CallRequest request;
   request.method = method;
   request.target = path;
@@ -255,9 +326,16 @@
                       std::to_string(deadline.count())}};
   if (method == "POST")
     request.body = "body";
+  return callLater(n, request, false);
+}
+
+std::shared_ptr<HttpAnswer> SiteFixture::callLater(std::size_t n,
+                                                   const CallRequest &request,
+                                                   bool mayReuse) {
+  auto answer = std::make_shared<HttpAnswer>();
   const auto exchange = std::make_shared<boost::intrusive_ptr<Exchange>>();
   *exchange =
-      Exchange::start(&session, request, {machines[n]->callers, {}, true},
+      Exchange::start(&session, request, {machines[n]->callers, {}, !mayReuse},
                       [answer, exchange](const Exchange::Result &result) {
                         const auto *const head =
                             std::get_if<AnswerHead>(&result);
--- a/test/platform/SiteFixture.h
+++ b/test/platform/SiteFixture.h
@@ -5,10 +5,14 @@
 
 #include "connection/Exchange.h"
 #include "connection/HttpServer.h"
+#include "connection/Timer.h"
+#include "support/FaultyLink.h"
 #include "support/Fleet.h"
 
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 
+#include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,9 +40,23 @@
   SiteTarget(const Address &address, std::string service, std::string name);
 
   void setManner(Manner newManner) { manner = newManner; }
+  /** How long a call takes before it is answered. */
+  void setServiceTime(Duration time) { serviceTime = time; }
+  /** Called when a request is begun, with its identifier. */
+  void onRun(std::function<void(const std::string &)> action) {
+    runAction = std::move(action);
+  }
   /** Answers what is held. */
   void release();
 
+  /** Ends without a word, and with it all connections. */
+  void crash();
+  /** Starts anew under another name, after crash(). \param coldTime is how long
+   * it says that it bears only a little. */
+  void restart(std::string name, Duration coldTime);
+  bool isUp() const { return server != nullptr; }
+  bool isCold() const { return coldLeft() > std::chrono::milliseconds(0); }
+
   /** How often a request was begun. */
   unsigned runsOf(const std::string &requestId) const;
   unsigned runCount() const;
@@ -46,7 +64,9 @@
   /** The headers of the last call. */
   const HeaderList &lastHeaders() const { return seenHeaders; }
   const std::string &name() const { return targetName; }
-  nlohmann::json heartbeat(const std::string &state);
+  /** \param shownAddress is where its node reaches it. */
+  nlohmann::json heartbeat(const std::string &state,
+                           const Address &shownAddress);
 
 private:
   Address address;
@@ -57,9 +77,19 @@
   std::vector<IncomingCallPtr> held;
   HeaderList seenHeaders;
   std::uint64_t sequence = 0;
+  /** Counts the starts. */
+  unsigned births = 1;
+  TimePoint coldUntil;
+  Duration serviceTime{};
+  std::function<void(const std::string &)> runAction;
+  /** Calls at work; they end with the target. */
+  std::list<std::unique_ptr<Timer>> work;
   std::unique_ptr<HttpServer> server;
 
+  void listen();
+  std::chrono::milliseconds coldLeft() const;
   void serve(const IncomingCallPtr &call);
+  void answerLater(const IncomingCallPtr &call, const std::string &id);
   void answerCall(const IncomingCallPtr &call, const std::string &id);
 };
 
@@ -72,16 +102,27 @@
   Address readiness;
   Address metrics;
   Address targetAddress;
+  /** The address at which the node reaches its target and the store: those of
+   * the links, if there are any. */
+  Address shownTarget;
+  Address shownStore;
+  std::unique_ptr<FaultyLink> targetLink;
+  std::unique_ptr<FaultyLink> storeLink;
+  std::string failureDomain;
   std::string settingsFile;
   std::unique_ptr<SiteTarget> target;
   std::unique_ptr<ChildProcess> node;
 };
 
+/** How nodes reach their target and the store. */
+enum class SiteLinks : std::uint8_t { Direct, Faulty };
+
 /** A store, machines, and an operator. Its destructor ends what it started. */
 class SiteFixture {
 public:
   /** \param failureDomains has one entry for each machine. */
-  explicit SiteFixture(const std::vector<std::string> &failureDomains);
+  explicit SiteFixture(const std::vector<std::string> &failureDomains,
+                       SiteLinks links = SiteLinks::Direct);
 
   /** Writes a configuration and waits until all nodes are ready and know all
    * targets. \return false if that takes too long. */
@@ -90,6 +131,11 @@
   /** Writes a row of the operator's table; removes it without a value. */
   void writeRow(const std::string &key,
                 const std::optional<std::string> &value);
+  /** Writes the configuration of this version, which alone has a route with
+   * the prefix /v<version>/. */
+  void writeConfiguration(unsigned version);
+  /** Sends an order to the store's stand-in. */
+  void setStore(const nlohmann::json &order);
   /** Sends a heartbeat. \return the status of the answer. */
   unsigned beat(std::size_t n, const std::string &state);
 
@@ -102,6 +148,9 @@
   callLater(std::size_t n, const std::string &method, const std::string &path,
             const std::string &id,
             std::chrono::milliseconds deadline = std::chrono::seconds(2));
+  /** The same, on connections that other calls have used, if \p mayReuse. */
+  std::shared_ptr<HttpAnswer>
+  callLater(std::size_t n, const CallRequest &request, bool mayReuse);
   bool isReady(std::size_t n);
   /** Runs of a request at all targets. */
   unsigned runsOf(const std::string &id) const;
@@ -115,7 +164,7 @@
   std::unique_ptr<ChildProcess> storeProcess;
   HttpSession session;
 
-  void writeSettings(SiteMachine &machine, const std::string &failureDomain);
+  void writeSettings(SiteMachine &machine);
 };
 
 } // namespace plantainhatch::test
--- a/test/platform/SitePathTest.cpp
+++ b/test/platform/SitePathTest.cpp
@@ -3,6 +3,8 @@
 #include "operator/MainLoop.h"
 #include "platform/SiteFixture.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
