--- a/src/node/SeedTask.cpp
+++ b/src/node/SeedTask.cpp
@@ -27,7 +27,7 @@
 
 void SeedTask::tick() {
   const ControlScope scope(services.metrics);
-  joinNext();
+  joinNext(joinsAtOnce(peers.membership().presentCount(), seedCount));
   const bool isLonely = peers.membership().presentCount() == 1;
   const TimePoint now = NodeServices::now();
   if (isLonely)
@@ -63,24 +63,25 @@
 
 void SeedTask::onRows(const std::vector<Row> &rows) {
   pendingJoins.clear();
+  seedCount = rows.size();
   for (const Row &row : rows) {
     const auto address = Address::parse(row.value);
     if (address && !isLiving(*address))
       pendingJoins.push_back(*address);
   }
   std::ranges::shuffle(pendingJoins, services.random);
-  joinNext();
+  joinNext(1);
   takeRow(rows);
 }
 
-void SeedTask::joinNext() {
-  while (!pendingJoins.empty()) {
+void SeedTask::joinNext(std::size_t count) {
+  while (count > 0 && !pendingJoins.empty()) {
     const Address seed = pendingJoins.back();
     pendingJoins.pop_back();
     if (isLiving(seed))
       continue;
     peers.join(seed);
-    return;
+    --count;
   }
 }
 
--- a/src/node/SeedTask.h
+++ b/src/node/SeedTask.h
@@ -31,6 +31,15 @@
   /** The longest pause while this node knows nobody and the store fails. */
   static constexpr std::chrono::milliseconds MaxLonelyInterval{2'000};
 
+  /** Seeds that a node joins in one interval while it knows fewer nodes than
+   * there are seeds, as those it has met may be as new as itself. */
+  static constexpr std::size_t MaxJoinsAtOnce = 8;
+
+  /** The seeds to join in one interval. Pure. */
+  static std::size_t joinsAtOnce(std::size_t known, std::size_t seeds) {
+    return known < seeds ? MaxJoinsAtOnce : 1;
+  }
+
   SeedTask(NodeServices &services, PeerTask &peers);
 
   /** Joins the seeds of the settings and reads the rows. */
@@ -45,11 +54,13 @@
   /** Seeds to join one after the other: the first tells of all others, after
    * which little differs, while a whole membership is large. */
   std::vector<Address> pendingJoins;
+  /** As last read. */
+  std::size_t seedCount = 0;
 
   void tick();
   void joinSettings();
   void read();
-  void joinNext();
+  void joinNext(std::size_t count);
   void onRows(const std::vector<Row> &rows);
   void takeRow(const std::vector<Row> &rows);
   bool isLiving(const Address &address) const;
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -1,5 +1,6 @@
 /** \file
  * Membership under loss, cuts, freezes and replacement. */
+#include "node/SeedTask.h"
 #include "support/MembershipWire.h"
 
 #include <CppUTest/TestHarness.h>
@@ -16,6 +17,14 @@
   CHECK(wire.runUntil([&] { return wire.doAllSee(20); }, seconds(30)));
 }
 
+TEST(Membership, NodeThatKnowsFewJoinsManySeedsAtOnce) {
+  // Those it has met may have started as late as itself, and know as little.
+  CHECK_EQUAL(SeedTask::MaxJoinsAtOnce, SeedTask::joinsAtOnce(3, 9));
+  CHECK_EQUAL(1, SeedTask::joinsAtOnce(9, 9));
+  // A whole fleet is large, and one node tells of all of it.
+  CHECK_EQUAL(1, SeedTask::joinsAtOnce(7'500, 33));
+}
+
 TEST(Membership, KilledMemberIsFoundDeadByAll) {
   MembershipWire wire(12);
   CHECK(wire.runUntil([&] { return wire.doAllSee(12); }, seconds(30)));
--- a/test/platform/SitePathTest.cpp
+++ b/test/platform/SitePathTest.cpp
@@ -43,6 +43,24 @@
         2000);
 }
 
+TEST_GROUP(SiteStore) {
+  SiteFixture site{{"zone-0"}, SiteLinks::Faulty};
+  FaultyLink &link = *site.machines[0]->storeLink;
+};
+
+TEST(SiteStore, QuestionThatIsLostWithoutASignDoesNotHideTheNextVersion) {
+  CHECK(site.start());
+  const std::uint64_t before = link.acceptedCount();
+  link.resetOpen();
+  CHECK(Fleet::waitUntil([&] { return link.acceptedCount() > before; }));
+  // What the node has asked by now is never answered, nor its connection cut.
+  pause(milliseconds(20));
+  link.silenceOpen();
+  site.writeConfiguration(2);
+  CHECK(Fleet::waitUntil(
+      [&] { return site.call(0, "GET", "/v2/x", "newest").status == 200; }));
+}
+
 TEST(SitePath, NodeWithoutAConfigurationPromisesThatNothingRan) {
   site.startNode(0);
   CHECK(Fleet::waitUntil([&] {
--- a/test/support/FaultyLink.cpp
+++ b/test/support/FaultyLink.cpp
@@ -162,6 +162,7 @@
 FaultyLink::~FaultyLink() = default;
 
 void FaultyLink::accept(StreamSocket client) {
+  ++accepted;
   auto toServer = StreamSocket::connect(server);
   if (!toServer) {
     client.reset();
--- a/test/support/FaultyLink.h
+++ b/test/support/FaultyLink.h
@@ -42,6 +42,8 @@
   void setMode(Mode newMode);
   /** Open connections are reset on both sides. */
   void resetOpen();
+  /** Connections that were ever taken. */
+  std::uint64_t acceptedCount() const { return accepted; }
   /** Open connections bring no byte any more, whatever the mode. */
   void silenceOpen();
 
@@ -50,6 +52,7 @@
 
   Address server;
   Mode mode = Mode::Pass;
+  std::uint64_t accepted = 0;
   std::unique_ptr<ListeningSocket> socket;
   std::list<std::unique_ptr<Relay>> relays;
   Timer sweepTimer;
