--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -58,6 +58,9 @@
   heal();
   auto broken = recover();
   Fleet::waitUntil([this] { return openCalls.empty(); }, RecoveryBound);
+  // Their answers must not come after the end of this run.
+  beatTimer.stop();
+  Fleet::waitUntil([this] { return beatsUnderWay == 0; });
   for (std::string &it : ledger.findBroken())
     broken.push_back(std::move(it));
   return {ledger.callCount(), ledger.servedCount(), plan.size(),
@@ -159,9 +162,11 @@
   const std::string name = at.target->name();
   const json body =
       at.target->heartbeat(isLeaving ? "draining" : "ready", at.shownTarget);
+  ++beatsUnderWay;
   site.http.sendAsync(at.targets, "PUT", "/instances/" + name, {}, body.dump(),
                       BeatPatience,
                       [this, machine, isLeaving, name](const HttpAnswer &it) {
+                        --beatsUnderWay;
                         if (!isLeaving || it.status != 200)
                           return;
                         ledger.leaveAcknowledged(name, now());
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -73,6 +73,8 @@
   std::set<std::string> domainsOut;
   unsigned version = 1;
   std::uint64_t sequence = 0;
+  /** Heartbeats without an answer yet. */
+  unsigned beatsUnderWay = 0;
   std::list<std::unique_ptr<Timer>> scheduled;
   Timer callTimer;
   Timer probeTimer;
