Keep a reload signal during the start from ending the node

Ruled out: the quarantine (node 0 was not ready at all, and its last status shows that it was never asked).

The signal is held from main's first line until its handler stands, so that none is lost. The soak sends none in a start's first 250 ms, as no program can keep off what comes before its first instruction.

--- a/apps/plantainhatchd/main.cpp
+++ b/apps/plantainhatchd/main.cpp
@@ -55,11 +55,21 @@
   return G_SOURCE_CONTINUE;
 }
 
+/** Lets SIGHUP wait, or takes it. Its default action ends a process, and one
+ * may come before the handler stands. */
+void holdReloadSignal(bool isHeld) {
+  sigset_t signals{};
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(isHeld ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+}
+
 int runLoop(Running &running) {
   running.loop = g_main_loop_new(nullptr, FALSE);
   g_unix_signal_add(SIGTERM, onStopSignal, &running);
   g_unix_signal_add(SIGINT, onStopSignal, &running);
   g_unix_signal_add(SIGHUP, onReloadSignal, &running);
+  holdReloadSignal(false);
   g_main_loop_run(running.loop);
   g_main_loop_unref(running.loop);
   return ExitDone;
@@ -108,6 +118,7 @@
 } // namespace
 
 int main(int argc, const char **argv) {
+  holdReloadSignal(true);
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
   std::signal(SIGPIPE, SIG_IGN);
--- a/test/error/SettingsFaultsTest.cpp
+++ b/test/error/SettingsFaultsTest.cpp
@@ -6,7 +6,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <sys/stat.h>
+
 #include <algorithm>
+#include <csignal>
+#include <fstream>
 
 #include <CppUTest/TestHarness.h>
 
@@ -47,6 +51,19 @@
   }
 };
 
+TEST(SettingsFaults, ReloadSignalDuringTheStartDoesNotEndTheProgram) {
+  const std::string pipe = fleet.write("place", "") + ".pipe";
+  CHECK_EQUAL(0, mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR));
+  ChildProcess node({binFolder() + "/plantainhatchd", "--settings", pipe},
+                    fleet.write("node.log", ""));
+  // Opens once the program reads its settings, which then waits for them.
+  std::ofstream settings(pipe);
+  node.signal(SIGHUP);
+  settings << "{}";
+  settings.close();
+  CHECK_EQUAL(2, node.wait());
+}
+
 TEST(SettingsFaults, GoodSettingsHaveNoFindings) {
   CHECK(findingsFor(goodSettings().dump()).empty());
 }
--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -24,6 +24,8 @@
 /** The same as the site's grace for a planned stop. */
 constexpr seconds StopGrace{6};
 constexpr seconds ColdTime{3};
+/** Until then a process that was started may still be loading its program. */
+constexpr milliseconds NodeLoadTime{250};
 /** The site's bound for service after the machines are back. */
 constexpr seconds RecoveryBound{15};
 /** Every third call must not run twice. */
@@ -305,6 +307,10 @@
     stopNode(step);
     break;
   case FaultKind::ReloadNode:
+    // Before its first instruction a program cannot keep the signal from ending
+    // it.
+    if (now() - states[n].nodeStartedAt < NodeLoadTime)
+      break;
     ledger.disturbed(n, true, now(), now());
     site.machines[n]->node->signal(SIGHUP);
     break;
@@ -342,6 +348,7 @@
     return;
   site.startNode(machine);
   ++states[machine].nodeStarts;
+  states[machine].nodeStartedAt = now();
 }
 
 void Soak::replaceTarget(std::size_t machine, Duration length) {
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -59,6 +59,7 @@
   };
   struct MachineState {
     unsigned nodeStarts = 1;
+    TimePoint nodeStartedAt;
     unsigned targetStarts = 0;
     bool isLeaving = false;
     bool hasLeft = false;
