Give no socket an event of a closed one with the same number

Cause: a turn of the reactor takes up to 64 events and looks up their handlers by file descriptor. If the handler of one event closes a socket and opens another, the new one has the same number, and the old one's event, still to come in that turn, went to it. An error or a hang-up of the old socket ended the new connection, be it a caller's. Ruled out: the node's end (it served the next calls), an answer that broke off (the target was alone and sound), a stop of the node. Change: each registration has a serial number, which its events carry. The callers of the stand-in now report reasons and errors.

--- a/src/connection/Reactor.cpp
+++ b/src/connection/Reactor.cpp
@@ -10,6 +10,15 @@
 namespace {
 
 constexpr std::size_t EventsPerTurn = 64;
+constexpr unsigned SerialShift = 32;
+
+epoll_event makeEvent(int fd, std::uint32_t serial, std::uint32_t events) {
+  epoll_event event{};
+  event.events = events;
+  event.data.u64 =
+      (std::uint64_t{serial} << SerialShift) | static_cast<std::uint32_t>(fd);
+  return event;
+}
 
 } // namespace
 
@@ -30,22 +39,18 @@
 }
 
 void Reactor::add(int fd, std::uint32_t events, ReadyHandler &handler) {
-  epoll_event event{};
-  event.events = events;
-  event.data.fd = fd;
-  handlers[fd] = &handler;
+  epoll_event event = makeEvent(fd, ++lastSerial, events);
+  watches[fd] = {&handler, lastSerial};
   epoll_ctl(epoll, EPOLL_CTL_ADD, fd, &event);
 }
 
 void Reactor::modify(int fd, std::uint32_t events) {
-  epoll_event event{};
-  event.events = events;
-  event.data.fd = fd;
+  epoll_event event = makeEvent(fd, watches.at(fd).serial, events);
   epoll_ctl(epoll, EPOLL_CTL_MOD, fd, &event);
 }
 
 void Reactor::remove(int fd) {
-  handlers.erase(fd);
+  watches.erase(fd);
   epoll_ctl(epoll, EPOLL_CTL_DEL, fd, nullptr);
 }
 
@@ -54,10 +59,14 @@
   const int n = epoll_wait(epoll, events.data(), EventsPerTurn, 0);
   for (int it = 0; it < n; ++it) {
     const epoll_event &event = events[static_cast<std::size_t>(it)];
-    // An earlier handler of this turn may have closed the socket.
-    const auto found = handlers.find(event.data.fd);
-    if (found != handlers.end())
-      found->second->onReady(event.events);
+    const auto fd =
+        static_cast<int>(static_cast<std::uint32_t>(event.data.u64));
+    // An earlier handler of this turn may have closed the socket, and opened
+    // another of the same number.
+    const auto found = watches.find(fd);
+    if (found != watches.end() &&
+        found->second.serial == event.data.u64 >> SerialShift)
+      found->second.handler->onReady(event.events);
   }
 }
 
--- a/src/connection/Reactor.h
+++ b/src/connection/Reactor.h
@@ -34,8 +34,16 @@
   void remove(int fd);
 
 private:
+  /** One add(). The number of a closed socket may be in use again before the
+   * last event of the old one is looked at. */
+  struct Watch {
+    ReadyHandler *handler = nullptr;
+    std::uint32_t serial = 0;
+  };
+
   int epoll;
-  std::unordered_map<int, ReadyHandler *> handlers;
+  std::unordered_map<int, Watch> watches;
+  std::uint32_t lastSerial = 0;
 
   Reactor();
 
--- a/test/standins/Caller.cpp
+++ b/test/standins/Caller.cpp
@@ -51,7 +51,8 @@
       {"failed", failed},     {"cancelled", cancelled},
       {"wrong", wrong},       {"latencyMs", quantiles(latencies)},
       {"byTarget", byTarget}, {"refusalLatencyMs", quantiles(refusalLatencies)},
-      {"statuses", statuses}};
+      {"statuses", statuses}, {"reasons", reasons},
+      {"errors", errors}};
 }
 
 /** One call under way, owned by its callback. */
@@ -129,30 +130,38 @@
 
 void Caller::onDone(GObject *session, GAsyncResult *result, gpointer data) {
   const std::unique_ptr<Call> call(static_cast<Call *>(data));
-  const GBytesPtr bytes(soup_session_send_and_read_finish(SOUP_SESSION(session),
-                                                          result, nullptr));
-  const std::string body = bytes ? toString(bytes.get()) : "";
+  GError *error = nullptr;
+  const GBytesPtr bytes(
+      soup_session_send_and_read_finish(SOUP_SESSION(session), result, &error));
   --call->caller->pending;
-  call->caller->finish(*call, bytes ? &body : nullptr);
+  if (bytes) {
+    call->caller->finish(*call, toString(bytes.get()));
+    return;
+  }
+  call->caller->fail(*call, error->message);
+  g_error_free(error);
+}
+
+void Caller::fail(const Call &call, const std::string &error) {
+  ++(call.isCancelled ? report.cancelled : report.failed);
+  if (!call.isCancelled)
+    ++report.errors[call.id + " to " + call.target + ": " + error];
 }
 
-void Caller::finish(const Call &call, const std::string *body) {
+void Caller::finish(const Call &call, const std::string &body) {
   const Duration latency = std::chrono::steady_clock::now() - call.intended;
-  if (body == nullptr) {
-    ++(call.isCancelled ? report.cancelled : report.failed);
-    return;
-  }
   const unsigned status = soup_message_get_status(call.message.get());
   ++report.statuses[std::to_string(status)];
   const std::string outcome = headerOf(call.message.get(), headers::Outcome);
   if (outcome.empty()) {
     report.latencies.push_back(latency);
     ++report.answered;
-    check(call, *body);
+    check(call, body);
     return;
   }
   report.refusalLatencies.push_back(latency);
   ++(outcome == "not-run" ? report.notRun : report.unknown);
+  ++report.reasons[body.substr(0, body.find('\n'))];
 }
 
 void Caller::check(const Call &call, const std::string &body) {
--- a/test/standins/Caller.h
+++ b/test/standins/Caller.h
@@ -51,6 +51,10 @@
   std::vector<Duration> refusalLatencies;
   std::map<std::string, std::uint64_t> byTarget;
   std::map<std::string, std::uint64_t> statuses;
+  /** Of the calls that were answered by a node and not by a target. */
+  std::map<std::string, std::uint64_t> reasons;
+  /** Of the calls that had no answer. */
+  std::map<std::string, std::uint64_t> errors;
 
   nlohmann::json toJson() const;
 };
@@ -76,7 +80,8 @@
   std::uint64_t pending = 0;
 
   void send(TimePoint intended);
-  void finish(const Call &call, const std::string *body);
+  void fail(const Call &call, const std::string &error);
+  void finish(const Call &call, const std::string &body);
   void check(const Call &call, const std::string &body);
   static void onDone(GObject *session, GAsyncResult *result, gpointer data);
 };
