Let targets out of service not use up a call's refusals

Cause: a call was refused after four refusals, whatever these were. With eleven of twelve nodes lost and not yet buried, four attempts in a row met nodes that were gone, and the call was refused with room left at the twelfth. Ruled out: a full target (no refusal said so), a wrong deadline (5 to 41 ms). Change: refusals of targets that are out of service are not counted, and a call that waits does not go back to these. The bound stays for full targets; the others end with the known targets or with the deadline. CallDecision.TargetsOutOfServiceDoNotUseUpTheRefusals and WaitingCallDoesNotGoBackToTargetsOutOfService failed, and pass.

--- a/src/request/CallDecision.cpp
+++ b/src/request/CallDecision.cpp
@@ -4,6 +4,26 @@
 
 namespace plantainhatch {
 
+namespace {
+
+/** True if the target would have refused whatever its load. */
+bool isOutOfService(Refusal refusal) {
+  switch (refusal) {
+  case Refusal::NotConnected:
+  case Refusal::NodeStopping:
+  case Refusal::TargetLeaving:
+  case Refusal::DomainOut:
+  case Refusal::VmOut:
+  case Refusal::NoTarget:
+  case Refusal::WrongService:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace
+
 CallDecision::CallDecision(bool isIdempotent, TimePoint deadline,
                            RetryBudget &budget, unsigned attempts)
     : isIdempotent(isIdempotent), deadline(deadline), budget(budget),
@@ -28,7 +48,7 @@
                                         lastRefusal == Refusal::ColdRate);
   if (wasFull && !hasStartedOver && !hasFailed) {
     hasStartedOver = true;
-    triedTargets.clear();
+    triedTargets = goneTargets;
     return ForwardAction{true};
   }
   return refuse();
@@ -37,8 +57,14 @@
 CallAction CallDecision::onRefused(const Address &target, Refusal refusal,
                                    TimePoint now) {
   pending.erase(target);
-  ++refusals;
-  lastRefusal = refusal;
+  if (isOutOfService(refusal)) {
+    goneTargets.insert(target);
+    if (refusals == 0)
+      lastRefusal = refusal;
+  } else {
+    ++refusals;
+    lastRefusal = refusal;
+  }
   const bool hasReachedTarget =
       refusal == Refusal::TargetShed || refusal == Refusal::WrongTarget;
   if (!hasReachedTarget)
@@ -52,7 +78,7 @@
     return refuse();
   if (hasReachedTarget && !budget.trySpend(now))
     return refuse();
-  return ForwardAction{refusals >= RefusalsBeforeQueue};
+  return ForwardAction{refusals >= RefusalsBeforeQueue || !goneTargets.empty()};
 }
 
 CallAction CallDecision::onFailed(const Address &target, bool didTargetDie,
--- a/src/request/CallDecision.h
+++ b/src/request/CallDecision.h
@@ -41,6 +41,8 @@
  * party that refused it has proved that it was not run. Not thread-safe. */
 class CallDecision {
 public:
+  /** Bounds the hops of a call while the fleet is full; targets out of service
+   * are not counted. */
   static constexpr unsigned MaxRefusals = 4;
   /** Refusals after which a gate may queue the call. */
   static constexpr unsigned RefusalsBeforeQueue = 1;
@@ -90,6 +92,8 @@
   /** Targets that got the call, or are about to. */
   unsigned reached = 0;
   std::set<Address> triedTargets;
+  /** Those of them that refused because they are out of service. */
+  std::set<Address> goneTargets;
   std::set<Address> pending;
   unsigned refusals = 0;
   unsigned failures = 0;
--- a/test/correctness/CallDecisionTest.cpp
+++ b/test/correctness/CallDecisionTest.cpp
@@ -152,6 +152,35 @@
   CHECK(isAnswer(action, 503, Outcome::NotRun));
 }
 
+TEST(CallDecision, TargetsOutOfServiceDoNotUseUpTheRefusals) {
+  constexpr std::array OutOfService{
+      Refusal::NotConnected, Refusal::NodeStopping, Refusal::TargetLeaving,
+      Refusal::DomainOut,    Refusal::VmOut,        Refusal::NoTarget};
+  CallDecision call(true, Deadline, budget);
+  call.start();
+  std::uint16_t port = 0;
+  for (const Refusal refusal : OutOfService) {
+    const Address target{"127.0.0.1", ++port};
+    call.onForwarded(target);
+    CHECK(isForward(call.onRefused(target, refusal, Start)));
+  }
+  // All known targets are gone.
+  CHECK(isAnswer(call.onNoChoice(), 503, Outcome::NotRun));
+}
+
+TEST(CallDecision, WaitingCallDoesNotGoBackToTargetsOutOfService) {
+  CallDecision call(true, Deadline, budget);
+  call.start();
+  call.onForwarded(First);
+  call.onRefused(First, Refusal::Full, Start);
+  call.onForwarded(Second);
+  call.onRefused(Second, Refusal::NotConnected, Start);
+  const CallAction action = call.onNoChoice();
+  CHECK(isForward(action));
+  CHECK(std::get<ForwardAction>(action).mayQueue);
+  CHECK(call.tried() == std::set<Address>{Second});
+}
+
 TEST(CallDecision, ExpectedRefusalIsTheLast) {
   CallDecision call(true, Deadline, budget);
   call.start();
--- a/test/fault/SelfRepairTest.cpp
+++ b/test/fault/SelfRepairTest.cpp
@@ -64,6 +64,20 @@
     checkRepaired(lost);
   }
 
+  /** Calls that come before the survivor can know of the loss.
+   * \pre The survivor's target serves the status service. */
+  void killAllBut(std::size_t survivor) {
+    for (std::size_t vm = 0; vm < fleet.vms.size(); ++vm)
+      if (vm != survivor)
+        fleet.vms[vm]->node->kill();
+    BackgroundCallers callers({fleet.vms[survivor]->callers},
+                              {"--rate", "100", "--ms", "1000"});
+    const json report = callers.finish();
+    CHECK_TEXT(report.at("sent") == report.at("answered"),
+               report.dump().c_str());
+    CHECK_EQUAL(0, report.at("wrong").get<int>());
+  }
+
 private:
   Fleet fleet;
 
@@ -196,6 +210,12 @@
   repair.killAndRestart(lost);
 }
 
+TEST(SelfRepair, CallsRightAfterTheLossOfAllButOneAreServed) {
+  Repair repair;
+  CHECK(repair.start());
+  repair.killAllBut(0);
+}
+
 TEST(SelfRepairOfFrozen, AThirdOfTheNodesFrozenForHalfAMinute) {
   Repair repair;
   CHECK(repair.start());
