--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -433,10 +433,18 @@
        {"status", status},
        {"reason", reason},
        {"version", configuration->head().version},
+       {"confirmedMsAgo", confirmationAge(now).count()},
        {"targets", decision ? decision->tried().size() : 0},
        {"ms", std::chrono::floor<Milliseconds>(now - arrivedAt).count()}});
 }
 
+std::chrono::milliseconds IngressCall::confirmationAge(TimePoint now) const {
+  const auto confirmedAt = task.configuration.freshness().confirmedAt();
+  return confirmedAt
+             ? std::chrono::floor<std::chrono::milliseconds>(now - *confirmedAt)
+             : std::chrono::milliseconds(-1);
+}
+
 void IngressCall::logFailedAttempt(const Address &target,
                                    std::string_view reason) const {
   using Milliseconds = std::chrono::milliseconds;
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -105,6 +105,9 @@
   void logCallEnd(DecisionKind kind, unsigned status,
                   std::string_view reason) const;
   /** Writes a decision log line for an attempt without a usable answer. */
+  /** How long ago the configuration was known to be the newest; negative if it
+   * is not known. */
+  std::chrono::milliseconds confirmationAge(TimePoint now) const;
   void logFailedAttempt(const Address &target, std::string_view reason) const;
   std::string formatRetryAfter(std::chrono::milliseconds delay) const;
   /** Ends the call as not run, without Retry-After. */
--- a/src/process/FreshnessGuard.cpp
+++ b/src/process/FreshnessGuard.cpp
@@ -1,5 +1,6 @@
 #include "process/FreshnessGuard.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace plantainhatch {
@@ -14,8 +15,15 @@
 }
 
 void FreshnessGuard::onConfirmed(TimePoint askedAt) {
-  if (askedAt >= staleSince)
-    staleSince = TimePoint{};
+  if (askedAt < staleSince)
+    return;
+  staleSince = TimePoint{};
+  lastConfirmed = std::max(lastConfirmed, askedAt);
+}
+
+std::optional<TimePoint> FreshnessGuard::confirmedAt() const {
+  return lastConfirmed == TimePoint{} ? std::nullopt
+                                      : std::optional(lastConfirmed);
 }
 
 bool FreshnessGuard::takePauseDetected() {
@@ -25,6 +33,7 @@
 void FreshnessGuard::detectPause(TimePoint now) {
   if (lastSeen != TimePoint{} && now - lastSeen > PauseThreshold) {
     staleSince = now;
+    lastConfirmed = TimePoint{};
     pauseDetected = true;
   }
   lastSeen = now;
--- a/src/process/FreshnessGuard.h
+++ b/src/process/FreshnessGuard.h
@@ -6,6 +6,8 @@
 
 #include "base/Time.h"
 
+#include <optional>
+
 namespace plantainhatch {
 
 /** A process that is suspended and resumed continues as if no time had passed,
@@ -29,11 +31,17 @@
    * sent at \p askedAt. Ignored if that was before the pause was detected. */
   void onConfirmed(TimePoint askedAt);
 
+  /** The latest moment at which the configuration is known to have been the
+   * newest; nothing if none is known since the last pause. */
+  std::optional<TimePoint> confirmedAt() const;
+
   /** True if a pause was detected since the last call. Resets the flag. */
   bool takePauseDetected();
 
 private:
   TimePoint lastSeen;
+  /** Zero if there is none since the last pause. */
+  TimePoint lastConfirmed;
   /** Zero if not stale. */
   TimePoint staleSince;
   bool pauseDetected = false;
