--- a/test/platform/SiteFixture.cpp
+++ b/test/platform/SiteFixture.cpp
@@ -289,20 +289,21 @@
       files.write("node-" + std::to_string(n) + ".log", ""));
 }
 
-void SiteFixture::writeRow(const std::string &key,
-                           const std::optional<std::string> &value) {
-  json order{{"table", "op"}, {"key", key}};
+void SiteFixture::writeRowOf(const std::string &table, const std::string &key,
+                             const std::optional<std::string> &value) {
+  json order{{"table", table}, {"key", key}};
   if (value)
     order["value"] = *value;
-  http.send(store, "POST", "/standin/set-row", {}, order.dump());
+  http.send(store, "POST", "/standin/set-row", {},
+            order.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 void SiteFixture::writeConfiguration(unsigned version) {
   writeRow("config", makeConfiguration(version));
 }
 
-void SiteFixture::setStore(const json &order) {
-  http.send(store, "POST", "/standin/control", {}, order.dump());
+unsigned SiteFixture::setStore(const json &order) {
+  return http.send(store, "POST", "/standin/control", {}, order.dump()).status;
 }
 
 unsigned SiteFixture::beat(std::size_t n, const std::string &state) {
--- a/test/platform/SiteFixture.h
+++ b/test/platform/SiteFixture.h
@@ -130,12 +130,18 @@
   void startNode(std::size_t n);
   /** Writes a row of the operator's table; removes it without a value. */
   void writeRow(const std::string &key,
-                const std::optional<std::string> &value);
+                const std::optional<std::string> &value) {
+    writeRowOf("op", key, value);
+  }
+  /** The same for any table. */
+  void writeRowOf(const std::string &table, const std::string &key,
+                  const std::optional<std::string> &value);
   /** Writes the configuration of this version, which alone has a route with
    * the prefix /v<version>/. */
   void writeConfiguration(unsigned version);
-  /** Sends an order to the store's stand-in. */
-  void setStore(const nlohmann::json &order);
+  /** Sends an order to the store's stand-in. \return the status of the answer.
+   */
+  unsigned setStore(const nlohmann::json &order);
   /** Sends a heartbeat. \return the status of the answer. */
   unsigned beat(std::size_t n, const std::string &state);
 
--- a/test/standins/Platform.cpp
+++ b/test/standins/Platform.cpp
@@ -166,6 +166,9 @@
   delay = std::chrono::milliseconds(order.value("delayMs", 0));
   losses = order.value("losses", -1);
   heldPart = order.value("only", "");
+  forgets = order.value("forgets", forgets);
+  if (order.value("stale", past.has_value()) != past.has_value())
+    past = past ? std::nullopt : std::optional(Snapshot{tables, version});
   if (order.value("dropHistory", false)) {
     history.clear();
     historyStart = version;
@@ -185,7 +188,11 @@
 }
 
 json Platform::stamped(json answer) const {
-  answer["version_number"] = version;
+  return stamped(std::move(answer), version);
+}
+
+json Platform::stamped(json answer, std::uint64_t asOf) const {
+  answer["version_number"] = asOf;
   answer["now_ms"] = g_get_monotonic_time() / G_TIME_SPAN_MILLISECOND;
   return answer;
 }
@@ -199,7 +206,7 @@
   const std::string end = parameter(target, "target");
   const std::size_t limit =
       std::min<std::size_t>(number(target, "limit", MaxRows), MaxRows);
-  const Table &table = tables[name];
+  const Table &table = past ? past->tables[name] : tables[name];
   json rows = json::array();
   auto it = table.lower_bound({part, from});
   const auto isInRange = [&] {
@@ -212,7 +219,8 @@
     row["version_number"] = it->second.version;
     rows.push_back(std::move(row));
   }
-  const json body = stamped({{"rows", rows}, {"has_more", isInRange()}});
+  const json body = stamped({{"rows", rows}, {"has_more", isInRange()}},
+                            past ? past->version : version);
   answer(call, 200, {}, body.dump(), false);
 }
 
@@ -231,7 +239,7 @@
   const std::string &target = call->request().target;
   Follower follower{call, parameter(target, "table"),
                     number(target, "after", 0), std::make_unique<Timer>()};
-  if (follower.after < historyStart) {
+  if (forgets || follower.after < historyStart) {
     answer(call, 410, {}, "{}", false);
     return;
   }
--- a/test/standins/Platform.h
+++ b/test/standins/Platform.h
@@ -23,7 +23,9 @@
  * memory. Faults are switched on by POST /standin/control {"mode": "up" |
  * "down" | "slow" | "late" | "lose"}: "lose" carries writes out and closes the
  * connection instead of answering; "slow" answers "delayMs" after it has
- * carried out; "late" carries out that much later. */
+ * carried out; "late" carries out that much later. With {"forgets": true}
+ * every feed says that its history is gone; with {"stale": true} tables are
+ * read as they were at that moment, and {"stale": false} ends that. */
 class Platform {
 public:
   /** Listens. \return the stand-in, or findings if the address cannot be used.
@@ -45,6 +47,11 @@
     std::string key;
     std::optional<std::string> value;
   };
+  /** All tables as they were at one version. */
+  struct Snapshot {
+    std::map<std::string, Table> tables;
+    std::uint64_t version = 0;
+  };
   struct Follower {
     IncomingCallPtr call;
     std::string table;
@@ -59,6 +66,10 @@
   /** Changes up to this version have been dropped. */
   std::uint64_t historyStart = 0;
   std::list<Follower> followers;
+  /** Set while feeds say that their history is gone, whatever they ask. */
+  bool forgets = false;
+  /** Set while reads are answered from the past. */
+  std::optional<Snapshot> past;
   std::uint64_t version = 0;
   std::string mode = "up";
   std::chrono::milliseconds delay{0};
@@ -92,6 +103,7 @@
              const std::string &key, std::optional<std::string> value);
   void serveObject(const IncomingCallPtr &call, const std::string &path);
   nlohmann::json stamped(nlohmann::json answer) const;
+  nlohmann::json stamped(nlohmann::json answer, std::uint64_t asOf) const;
   void answer(const IncomingCallPtr &call, unsigned status,
               const HeaderList &headers, const std::string &body, bool isWrite);
   bool mustLose(bool isWrite);
