--- a/src/connection/HttpSession.h
+++ b/src/connection/HttpSession.h
@@ -34,6 +34,9 @@
   std::optional<StreamSocket> take(const Address &address);
   /** Keeps a connection on which nothing is under way. */
   void keep(const Address &address, StreamSocket socket);
+  /** Closes the idle connections to \p address. To be called when a request
+   * there has had no answer in time, as they may be as silent. */
+  void drop(const Address &address) { idle.erase(address); }
 
 private:
   struct IdleConnection : ReadyHandler {
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -66,6 +66,8 @@
    * stale. */
   FreshnessGuard &freshness() { return guard; }
   bool isStoreUp() const { return storeUp; }
+  /** Nodes of the fleet that this node knows to be present, itself included. */
+  std::size_t nodeCount() const { return peers.membership().presentCount(); }
   /** Sets whether the store answers, and records an event if that has changed.
    * \param cause names the request that showed the change. */
   void setStoreUp(bool isUp, const std::string &cause);
