Ask another peer for a version while one does not reply

What was seen: a node that the store does not reach, and that has asked a peer which has fallen silent, took no version from any other peer for up to 3 s (BulkTimeout), of the 2 s in which a change must be in force. Cause: one pull at a time, whatever its age. Now up to three, one for each peer. CurrentVersion.SilentPeerDoesNotKeepTheVersionOfAnotherAway failed before (no change within 2 s). Its check waits for the added route to be served rather than for the dropped one to be denied, as a denial is about to need the store, which this node has not got; both show the new version.

--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -181,15 +181,14 @@
 }
 
 void ConfigurationTask::pull(const Address &peer) {
-  if (isPulling)
+  if (pulls.size() >= MaxPulls || !pulls.insert(peer).second)
     return;
-  isPulling = true;
   const TimePoint askedAt = NodeServices::now();
   peers.request(
       peer,
       ConfigurationRequest{replica.version(), replica.current()->head().digest},
       [this, peer, askedAt](const std::optional<BulkReplyBody> &body) {
-        isPulling = false;
+        pulls.erase(peer);
         const auto *const reply =
             body ? std::get_if<ConfigurationReply>(&*body) : nullptr;
         if (reply == nullptr)
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -10,6 +10,7 @@
 #include "process/FreshnessGuard.h"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
   static constexpr std::size_t ReadersPerDomain = 2;
   /** Upper bound of the backoff between polls while the store fails. */
   static constexpr std::chrono::seconds MaxBackoff{8};
+  /** Peers that may be asked for a version at the same time, as one may have
+   * fallen silent. */
+  static constexpr std::size_t MaxPulls = 3;
 
   /** Called with the configuration that was in force before the adoption. */
   using AdoptedListener = std::function<void(const ConfigurationPtr &before)>;
@@ -84,7 +88,8 @@
   TimePoint notBefore;
   std::function<void()> requestConfirmation;
   bool isReading = false;
-  bool isPulling = false;
+  /** Peers that have been asked for a version and have not replied. */
+  std::set<Address> pulls;
   bool storeUp = true;
 
   void tick();
