Do not confirm a peer's version while paused or older oneself

What was seen: two nodes that were paused together, with the store away, confirmed each other's version within milliseconds, and the gate of one passed calls to its target in a domain that had been taken out meanwhile. Cause: any reply to a pull counted as a confirmation, also of a node that was stale itself or had an older version. Such a node now replies with what is no confirmation; a node of an earlier build takes it for no reply. CurrentVersion.PeersThatWerePausedTooDoNotConfirmOneAnother failed before.

--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -202,9 +202,11 @@
       });
 }
 
-ConfigurationReply
-ConfigurationTask::answer(const ConfigurationRequest &request) const {
-  return {replica.updateFor(request.version, request.digest)};
+BulkReplyBody ConfigurationTask::answer(const ConfigurationRequest &request) {
+  // The peer would take a reply without an update for a confirmation.
+  if (guard.isStale(NodeServices::now()) || request.version > replica.version())
+    return PushReply{};
+  return ConfigurationReply{replica.updateFor(request.version, request.digest)};
 }
 
 void ConfigurationTask::setStoreUp(bool isUp, const std::string &cause) {
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -61,8 +61,9 @@
   /** Adopts a version that the store has accepted, if it is newer than the one
    * in force. */
   void onOffered(const ConfigurationOffer &offer);
-  /** Returns the update that a peer needs, if any. */
-  ConfigurationReply answer(const ConfigurationRequest &request) const;
+  /** Returns the update that a peer needs, if any. The reply is another one if
+   * this node cannot tell whether the peer needs one. */
+  BulkReplyBody answer(const ConfigurationRequest &request);
 
   const ConfigurationPtr &current() const { return replica.current(); }
   const ConfigurationReplica &configurations() const { return replica; }
--- a/src/node/PeerTask.h
+++ b/src/node/PeerTask.h
@@ -38,8 +38,7 @@
     std::function<void(const Address &sender, std::uint64_t version)>
         configurationVersion;
     /** Returns the reply to a peer's request for the configuration. */
-    std::function<ConfigurationReply(const ConfigurationRequest &)>
-        configuration;
+    std::function<BulkReplyBody(const ConfigurationRequest &)> configuration;
     /** Called with an accepted version that an operator's command offers. */
     std::function<void(const ConfigurationOffer &)> offer;
     /** Called with the changes of members. */
