Notice a suspension that the steady clock does not count

The platform may suspend a VM; the steady clock then stands still, and the node went on by a configuration of before, its gate open, without asking anyone: the guard against pauses looked at that clock alone. The guard now also looks at how far the clock that counts such times has run ahead. ProcessState.SuspensionThatTheSteadyClockDoesNotCountIsAPause is new; the guard had no way to be told of it before.

--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -3,6 +3,7 @@
 #include "process/Rendezvous.h"
 
 #include <algorithm>
+#include <ctime>
 #include <iomanip>
 #include <sstream>
 
@@ -14,6 +15,18 @@
 constexpr std::chrono::milliseconds InitialBackoff{500};
 constexpr int VersionDigits = 12;
 
+Duration readClock(clockid_t id) {
+  timespec time{};
+  clock_gettime(id, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
+/** The time since the start of the VM that the steady clock has not counted. */
+Duration suspendedTime() {
+  return readClock(CLOCK_BOOTTIME) - readClock(CLOCK_MONOTONIC);
+}
+
 } // namespace
 
 std::string historyRowKey(std::uint64_t version) {
@@ -43,8 +56,17 @@
   readHead();
 }
 
+bool ConfigurationTask::isStale() {
+  detectPause();
+  return guard.isStale(NodeServices::now());
+}
+
+void ConfigurationTask::detectPause() {
+  guard.onTick(NodeServices::now(), suspendedTime());
+}
+
 void ConfigurationTask::tick() {
-  guard.onTick(NodeServices::now());
+  detectPause();
   if (guard.takePauseDetected())
     confirmAfterPause();
 }
@@ -204,7 +226,7 @@
 
 BulkReplyBody ConfigurationTask::answer(const ConfigurationRequest &request) {
   // The peer would take a reply without an update for a confirmation.
-  if (guard.isStale(NodeServices::now()) || request.version > replica.version())
+  if (isStale() || request.version > replica.version())
     return PushReply{};
   return ConfigurationReply{replica.updateFor(request.version, request.digest)};
 }
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -67,9 +67,10 @@
 
   const ConfigurationPtr &current() const { return replica.current(); }
   const ConfigurationReplica &configurations() const { return replica; }
-  /** Detects pauses of this process, after which its configuration may be
-   * stale. */
-  FreshnessGuard &freshness() { return guard; }
+  /** True if this process was paused, and its configuration may be stale. */
+  bool isStale();
+  /** How long ago the version in force was known to be the newest. */
+  const FreshnessGuard &freshness() const { return guard; }
   bool isStoreUp() const { return storeUp; }
   /** Nodes of the fleet that this node knows to be present, itself included. */
   std::size_t nodeCount() const { return peers.membership().presentCount(); }
@@ -94,6 +95,7 @@
   bool storeUp = true;
 
   void tick();
+  void detectPause();
   void poll();
   void confirmAfterPause();
   void readHead();
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -149,7 +149,7 @@
 Refusal GateTask::closedReason() const {
   if (isStopping)
     return Refusal::NodeStopping;
-  if (configuration.freshness().isStale(NodeServices::now()))
+  if (configuration.isStale())
     return Refusal::Stale;
   const NodeSettings &settings = services.settings;
   const Configuration &current = *configuration.current();
--- a/src/process/FreshnessGuard.cpp
+++ b/src/process/FreshnessGuard.cpp
@@ -14,6 +14,15 @@
   return staleSince != TimePoint{};
 }
 
+void FreshnessGuard::onTick(TimePoint now, Duration suspended) {
+  detectPause(now);
+  const bool wasSuspended =
+      lastSuspended >= Duration() && suspended - lastSuspended > PauseThreshold;
+  lastSuspended = suspended;
+  if (wasSuspended)
+    beginPause(now);
+}
+
 void FreshnessGuard::onConfirmed(TimePoint askedAt) {
   if (askedAt < staleSince)
     return;
@@ -31,12 +40,15 @@
 }
 
 void FreshnessGuard::detectPause(TimePoint now) {
-  if (lastSeen != TimePoint{} && now - lastSeen > PauseThreshold) {
-    staleSince = now;
-    lastConfirmed = TimePoint{};
-    pauseDetected = true;
-  }
+  if (lastSeen != TimePoint{} && now - lastSeen > PauseThreshold)
+    beginPause(now);
   lastSeen = now;
 }
 
+void FreshnessGuard::beginPause(TimePoint now) {
+  staleSince = now;
+  lastConfirmed = TimePoint{};
+  pauseDetected = true;
+}
+
 } // namespace plantainhatch
--- a/src/process/FreshnessGuard.h
+++ b/src/process/FreshnessGuard.h
@@ -21,8 +21,10 @@
   static constexpr std::chrono::milliseconds PauseThreshold{1'000};
   static constexpr std::chrono::milliseconds MaxStale{2'000};
 
-  /** Must be called at intervals well below PauseThreshold. */
-  void onTick(TimePoint now) { detectPause(now); }
+  /** Must be called at intervals well below PauseThreshold. \param suspended is
+   * the time since the start of the VM that the steady clock has not counted,
+   * as the VM was suspended. */
+  void onTick(TimePoint now, Duration suspended = {});
 
   /** True if no new calls may be passed to the target. Detects a pause, too. */
   bool isStale(TimePoint now);
@@ -40,6 +42,8 @@
 
 private:
   TimePoint lastSeen;
+  /** Negative before the first tick. */
+  Duration lastSuspended{-1};
   /** Zero if there is none since the last pause. */
   TimePoint lastConfirmed;
   /** Zero if not stale. */
@@ -47,6 +51,7 @@
   bool pauseDetected = false;
 
   void detectPause(TimePoint now);
+  void beginPause(TimePoint now);
 };
 
 } // namespace plantainhatch
--- a/test/correctness/ProcessStateTest.cpp
+++ b/test/correctness/ProcessStateTest.cpp
@@ -111,6 +111,23 @@
   CHECK_FALSE(guard.isStale(thawed + milliseconds(20)));
 }
 
+// Guards against a VM that was suspended and goes on as if no time had passed,
+// as its steady clock has stood still.
+TEST(ProcessState, SuspensionThatTheSteadyClockDoesNotCountIsAPause) {
+  FreshnessGuard guard;
+  guard.onTick(Start, seconds(90));
+  guard.onTick(Start + milliseconds(100), seconds(90));
+  CHECK_FALSE(guard.isStale(Start + milliseconds(150)));
+  const TimePoint resumed = Start + milliseconds(200);
+  guard.onTick(resumed, seconds(94));
+  CHECK(guard.takePauseDetected());
+  CHECK(guard.isStale(resumed));
+  guard.onTick(resumed + milliseconds(100), seconds(94));
+  CHECK_FALSE(guard.takePauseDetected());
+  guard.onConfirmed(resumed + milliseconds(100));
+  CHECK_FALSE(guard.isStale(resumed + milliseconds(100)));
+}
+
 TEST(ProcessState, StaleProcessServesAgainWhenNobodyAnswers) {
   FreshnessGuard guard;
   guard.onTick(Start);
