Know of each answer of the store whether it shows the newest version

In the same code: a table read from the past, an answer that comes late and rows that are no valid configuration counted as confirmations too.

Cause: only a table read confirmed, and each did. Only the store's word shows that a version is the newest; a peer's reopens the gate after a pause, as before. FreshnessCheck asks the store on demand, for all who wait together and within a share of the store's rate.

--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -43,10 +43,11 @@
 
 ConfigurationTask::ConfigurationTask(NodeServices &services, PeerTask &peers,
                                      ConfigurationReplica::Builder builder)
-    : services(services), peers(peers), replica(std::move(builder)) {}
+    : services(services), peers(peers), replica(std::move(builder)),
+      check(guard, [this] { return askForNewest(); }) {}
 
-void ConfigurationTask::startWithExternalSource(std::function<void()> confirm) {
-  requestConfirmation = std::move(confirm);
+void ConfigurationTask::startWithExternalSource(ExternalSource source) {
+  externalSource = std::move(source);
   tickTimer.startRepeating(FreshnessCheckInterval, [this] { tick(); });
 }
 
@@ -56,6 +57,30 @@
   readHead();
 }
 
+void ConfigurationTask::onConfirmed(TimePoint askedAt, std::uint64_t version) {
+  if (version < replica.version())
+    check.onNotConfirmed();
+  else
+    confirm(askedAt);
+}
+
+void ConfigurationTask::confirm(TimePoint askedAt) {
+  guard.onConfirmed(askedAt, FreshnessGuard::Source::Store);
+  check.onConfirmed();
+}
+
+void ConfigurationTask::whenNewest(FreshnessCheck::Done done) {
+  detectPause();
+  check.run(NodeServices::now(), nodeCount(), storeUp, std::move(done));
+}
+
+bool ConfigurationTask::askForNewest() {
+  if (externalSource.confirm)
+    return externalSource.confirm();
+  readHead();
+  return true;
+}
+
 bool ConfigurationTask::isStale() {
   detectPause();
   return guard.isStale(NodeServices::now());
@@ -83,8 +108,8 @@
 }
 
 void ConfigurationTask::confirmAfterPause() {
-  if (requestConfirmation)
-    requestConfirmation();
+  if (externalSource.refresh)
+    externalSource.refresh();
   else
     readHead();
   if (const auto peer = peers.pickRandomPeer())
@@ -108,6 +133,7 @@
 void ConfigurationTask::onHead(const RowResult &row, TimePoint askedAt) {
   setStoreUp(row.result != StoreResult::Unknown, "read of the head row");
   if (row.result == StoreResult::Unknown) {
+    check.onNotConfirmed();
     backoff = std::min<std::chrono::milliseconds>(
         std::max(InitialBackoff, backoff * 2), MaxBackoff);
     std::uniform_int_distribution<std::int64_t> jitter(0, backoff.count());
@@ -117,7 +143,7 @@
   }
   backoff = std::chrono::milliseconds(0);
   if (row.result == StoreResult::Absent) {
-    guard.onConfirmed(askedAt);
+    confirm(askedAt);
     if (replica.version() > 0)
       repairHead({});
     return;
@@ -132,7 +158,7 @@
     readText(head.value());
     return;
   }
-  guard.onConfirmed(askedAt);
+  confirm(askedAt);
   if (head.value().version < replica.version())
     repairHead(row.row.etag);
   else if (head.value().digest != replica.current()->head().digest)
@@ -147,12 +173,17 @@
       configurationObjectName(services.settings.cluster, head.digest),
       [this, head, askedAt](const ObjectResult &object) {
         const ScopedControlCpuTimer scope(services.metrics);
-        if (object.result != StoreResult::Ok)
+        if (object.result != StoreResult::Ok) {
+          check.onNotConfirmed();
           return;
+        }
         const ConfigurationPtr before = replica.current();
         const AdoptResult result = replica.adopt(head, object.bytes);
-        guard.onConfirmed(askedAt);
         finishAdoption(result, before, "the store");
+        if (replica.version() >= head.version)
+          confirm(askedAt);
+        else
+          check.onNotConfirmed();
       });
 }
 
@@ -215,7 +246,7 @@
             body ? std::get_if<ConfigurationReply>(&*body) : nullptr;
         if (reply == nullptr)
           return;
-        guard.onConfirmed(askedAt);
+        guard.onConfirmed(askedAt, FreshnessGuard::Source::Peer);
         if (!reply->update)
           return;
         const ConfigurationPtr before = replica.current();
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -4,6 +4,7 @@
 #define PLANTAINHATCH_NODE_CONFIGURATIONTASK_H
 
 #include "connection/Timer.h"
+#include "node/FreshnessCheck.h"
 #include "node/NodeServices.h"
 #include "node/PeerTask.h"
 #include "process/ConfigurationReplica.h"
@@ -50,14 +51,27 @@
   /** Pulls the configuration from \p peer if it has reported a newer version.
    */
   void onPeerVersion(const Address &peer, std::uint64_t version);
+  /** Another source of versions than the head row. */
+  struct ExternalSource {
+    /** Reads all anew after a pause of this process. */
+    std::function<void()> refresh;
+    /** Asks for the newest version, which must lead to onConfirmed() or
+     * onNotConfirmed(). Returns false if it cannot ask. */
+    std::function<bool()> confirm;
+  };
   /** Starts without polling the head row, for a node that receives versions
-   * through onOffered() from another source. \p confirm is called after a pause
-   * of this process; it must ask the source for the newest version, and the
-   * answer must lead to onConfirmed(). */
-  void startWithExternalSource(std::function<void()> confirm);
-  /** Called when a request sent at \p askedAt has shown that the version in
-   * force is the newest. Has no effect if the process was paused since then. */
-  void onConfirmed(TimePoint askedAt) { guard.onConfirmed(askedAt); }
+   * through onOffered() from \p source. */
+  void startWithExternalSource(ExternalSource source);
+  /** Called when a request sent at \p askedAt has shown that no version after
+   * \p version has been accepted. Has no effect if the process was paused since
+   * then, or if a later version is in force, as the answer is from the past. */
+  void onConfirmed(TimePoint askedAt, std::uint64_t version);
+  /** Called when the source has not answered a request to confirm. */
+  void onNotConfirmed() { check.onNotConfirmed(); }
+  /** Calls \p done, at once or within FreshnessCheck::TimeLimit, with whether
+   * the version in force is known to be the newest. A later version may have
+   * been adopted when it is called. */
+  void whenNewest(FreshnessCheck::Done done);
   /** Adopts a version that the store has accepted, if it is newer than the one
    * in force. */
   void onOffered(const ConfigurationOffer &offer);
@@ -83,12 +97,13 @@
   PeerTask &peers;
   ConfigurationReplica replica;
   FreshnessGuard guard;
+  FreshnessCheck check;
   std::vector<AdoptedListener> listeners;
   Timer pollTimer;
   Timer tickTimer;
   std::chrono::milliseconds backoff{0};
   TimePoint notBefore;
-  std::function<void()> requestConfirmation;
+  ExternalSource externalSource;
   bool isReading = false;
   /** Peers that have been asked for a version and have not replied. */
   std::set<Address> pulls;
@@ -96,6 +111,8 @@
 
   void tick();
   void detectPause();
+  bool askForNewest();
+  void confirm(TimePoint askedAt);
   void poll();
   void confirmAfterPause();
   void readHead();
--- a/src/process/FreshnessGuard.cpp
+++ b/src/process/FreshnessGuard.cpp
@@ -23,11 +23,12 @@
     beginPause(now);
 }
 
-void FreshnessGuard::onConfirmed(TimePoint askedAt) {
+void FreshnessGuard::onConfirmed(TimePoint askedAt, Source source) {
   if (askedAt < staleSince)
     return;
   staleSince = TimePoint{};
-  lastConfirmed = std::max(lastConfirmed, askedAt);
+  if (source == Source::Store)
+    lastConfirmed = std::max(lastConfirmed, askedAt);
 }
 
 std::optional<TimePoint> FreshnessGuard::confirmedAt() const {
--- a/src/process/FreshnessGuard.h
+++ b/src/process/FreshnessGuard.h
@@ -6,6 +6,7 @@
 
 #include "base/Time.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace plantainhatch {
@@ -29,12 +30,20 @@
   /** True if no new calls may be passed to the target. Detects a pause, too. */
   bool isStale(TimePoint now);
 
-  /** A peer or the store has confirmed the configuration in reply to a request
-   * sent at \p askedAt. Ignored if that was before the pause was detected. */
-  void onConfirmed(TimePoint askedAt);
+  /** Who has confirmed the configuration. */
+  enum class Source : std::uint8_t {
+    /** Another node, which may itself not have heard of a newer one. */
+    Peer,
+    Store
+  };
+
+  /** \p source has confirmed the configuration in reply to a request sent at
+   * \p askedAt. Ignored if that was before the pause was detected. */
+  void onConfirmed(TimePoint askedAt, Source source);
 
   /** The latest moment at which the configuration is known to have been the
-   * newest; nothing if none is known since the last pause. */
+   * newest, as the store has said; nothing if none is known since the last
+   * pause. */
   std::optional<TimePoint> confirmedAt() const;
 
   /** True if a pause was detected since the last call. Resets the flag. */
--- a/test/correctness/ProcessStateTest.cpp
+++ b/test/correctness/ProcessStateTest.cpp
@@ -11,6 +11,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainhatch;
+using Source = FreshnessGuard::Source;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -105,9 +106,9 @@
   const TimePoint thawed = Start + seconds(30);
   CHECK(guard.isStale(thawed));
   CHECK(guard.takePauseDetected());
-  guard.onConfirmed(thawed - milliseconds(1));
+  guard.onConfirmed(thawed - milliseconds(1), Source::Peer);
   CHECK(guard.isStale(thawed + milliseconds(10)));
-  guard.onConfirmed(thawed + milliseconds(1));
+  guard.onConfirmed(thawed + milliseconds(1), Source::Peer);
   CHECK_FALSE(guard.isStale(thawed + milliseconds(20)));
 }
 
@@ -124,10 +125,25 @@
   CHECK(guard.isStale(resumed));
   guard.onTick(resumed + milliseconds(100), seconds(94));
   CHECK_FALSE(guard.takePauseDetected());
-  guard.onConfirmed(resumed + milliseconds(100));
+  guard.onConfirmed(resumed + milliseconds(100), Source::Peer);
   CHECK_FALSE(guard.isStale(resumed + milliseconds(100)));
 }
 
+// Guards against a node that takes the word of a peer, which may itself lag,
+// for the newest version, or still goes by what it knew before a pause.
+TEST(ProcessState, OnlyTheStoreShowsThatAVersionIsTheNewest) {
+  FreshnessGuard guard;
+  guard.onTick(Start);
+  CHECK_FALSE(guard.confirmedAt().has_value());
+  guard.onConfirmed(Start, Source::Peer);
+  CHECK_FALSE(guard.confirmedAt().has_value());
+  guard.onConfirmed(Start + milliseconds(20), Source::Store);
+  guard.onConfirmed(Start + milliseconds(10), Source::Store);
+  CHECK(guard.confirmedAt() == Start + milliseconds(20));
+  guard.onTick(Start + seconds(30));
+  CHECK_FALSE(guard.confirmedAt().has_value());
+}
+
 TEST(ProcessState, StaleProcessServesAgainWhenNobodyAnswers) {
   FreshnessGuard guard;
   guard.onTick(Start);
