Deny a call only if no newer version can hold a rule for it

Cause: a node answered from the version that it had, whatever its age. A match shows what a version allows; the lack of one shows nothing unless the version is the newest. This holds after a start (a version of a peer), after a cut or freeze, and while the store turns the node away.

Change: a call that no rule matches waits until the store has confirmed the version, as of half a second before the call at the earliest (the bound is 2 s), or has brought a newer one, by which the call is then looked up again. Without that within half a second, and at once while the store is known to be away, it is refused with 503, 'configuration-not-confirmed' and Retry-After. Also for nodes that are not at a site, by the head row.

--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -34,20 +34,50 @@
 void IngressCall::begin() {
   request = makeRequest();
   task.gate.onIngressCall(request->id);
+  findRule();
+  if (rule != nullptr)
+    admit();
+  else
+    onNoRule();
+}
+
+void IngressCall::findRule() {
   const std::string host =
       findHeader(request->headers, "Host").value_or(std::string());
   rule = configuration->findService(
       std::string_view(host).substr(0, host.find(':')), request->path());
-  if (rule == nullptr && task.services.settings.site &&
-      configuration->head().version == 0) {
+}
+
+void IngressCall::onNoRule() {
+  if (task.services.settings.site && configuration->head().version == 0) {
     sendLocalAnswer({httpStatus::ServiceUnavailable, Outcome::NotRun,
                      "no-configuration", CallDecision::RetryAfter});
     return;
   }
-  if (rule == nullptr) {
-    reject(httpStatus::NotFound, "no-rule");
+  const CallPtr self(this);
+  incoming->onGone([self] {
+    self->isCallerDisconnected = true;
+    self->end();
+  });
+  task.configuration.whenNewest(
+      [self](bool isNewest) { self->onFreshnessChecked(isNewest); });
+}
+
+void IngressCall::onFreshnessChecked(bool isNewest) {
+  if (isEnded)
     return;
-  }
+  configuration = task.configuration.current();
+  findRule();
+  if (rule != nullptr)
+    admit();
+  else if (isNewest)
+    reject(httpStatus::NotFound, "no-rule");
+  else
+    sendLocalAnswer({httpStatus::ServiceUnavailable, Outcome::NotRun,
+                     "configuration-not-confirmed", CallDecision::RetryAfter});
+}
+
+void IngressCall::admit() {
   if (request->id.empty()) {
     reject(httpStatus::BadRequest,
            "missing-" + task.services.callProtocol.requestIdHeader);
@@ -72,7 +102,8 @@
     return;
   }
   const CallPtr self(this);
-  deadlineTimer.startOnce(*timeout, [self] { self->onDeadline(); });
+  deadlineTimer.startOnce(std::max(deadline - NodeServices::now(), Duration()),
+                          [self] { self->onDeadline(); });
   incoming->onGone([self] { self->onCallerDisconnected(); });
   if (!rule->needsClaim() || isSafeMethod(request->method)) {
     perform(decision->start());
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -68,6 +68,12 @@
               std::function<void()> onDone);
 
   void begin();
+  void findRule();
+  /** Denies the call only if the configuration is known to be the newest. */
+  void onNoRule();
+  void onFreshnessChecked(bool isNewest);
+  /** \pre A rule was found. */
+  void admit();
   std::shared_ptr<const CallRequest> makeRequest() const;
   void beginClaim(const std::string &key);
   void onClaimResult(Claim::Result result);
--- a/test/platform/CurrentVersionTest.cpp
+++ b/test/platform/CurrentVersionTest.cpp
@@ -5,6 +5,7 @@
 #include "connection/ListeningSocket.h"
 #include "connection/MessageCodec.h"
 #include "connection/PeerSocket.h"
+#include "node/FreshnessCheck.h"
 #include "operator/MainLoop.h"
 #include "platform/SiteFixture.h"
 #include "platform/StoreClient.h"
@@ -133,6 +134,7 @@
     fault.begin(site, link);
     pause(milliseconds(50));
     site.writeConfiguration(2);
+    pause(FreshnessCheck::MaxAge);
     const TimePoint end = std::chrono::steady_clock::now() + seconds(1);
     while (std::chrono::steady_clock::now() < end) {
       const unsigned status = statusOf(site, 0, "/v2/x");
@@ -156,6 +158,7 @@
   SiteFixture site{{"zone-0"}, SiteLinks::Faulty};
   CHECK(site.start());
   site.machines[0]->storeLink->setMode(FaultyLink::Mode::HoldBoth);
+  pause(FreshnessCheck::MaxAge);
   const TimePoint askedAt = std::chrono::steady_clock::now();
   const auto answer = site.call(0, "GET", "/v9/x", "unknown", seconds(5));
   CHECK_EQUAL(503, answer.status);
