--- a/test/fault/AtMostOnceTest.cpp
+++ b/test/fault/AtMostOnceTest.cpp
@@ -1,6 +1,7 @@
 /** \file
  * Calls that run at most once, without faults of processes. */
 #include "support/FaultFixture.h"
+#include "support/ScriptedServer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -30,6 +31,55 @@
   CHECK_EQUAL(1, countRuns(fleet, "k"));
 }
 
+// Guards against a refusal that a target writes once more on a kept connection
+// and that is taken for the answer to the next call, which runs.
+TEST(AtMostOnce, RefusalThatATargetRepeatsIsNotTheAnswerToTheNextCall) {
+  FleetPlan plan;
+  plan.rules = "service release path /release timeout 2s  # Test\n";
+  plan.vms.push_back({"domain-0", "", 0, 0, 0, {}, {}});
+  Fleet fleet(std::move(plan));
+  std::atomic<bool> hasRefused = false;
+  std::atomic<unsigned> runs = 0;
+  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                              "Plantainhatch-Outcome: not-run\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  const Address address = freeAddress();
+  const ScriptedServer target(address, [&](ScriptedServer::Connection &it) {
+    bool isRepeating = false;
+    while (it.readRequest()) {
+      if (!hasRefused.exchange(true)) {
+        isRepeating = true;
+        it.write(refusal);
+        continue;
+      }
+      ++runs;
+      if (isRepeating)
+        it.write(refusal);
+      it.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+    }
+  });
+  CHECK(fleet.start());
+  const nlohmann::json announcement{
+      {"service", "release"}, {"address", address.toString()},
+      {"slots", 4},           {"connections", 10},
+      {"coldSlots", 4},       {"bootId", "repeating"}};
+  CHECK_EQUAL(200,
+              fleet.http
+                  .send(fleet.vms[0]->targets, "POST",
+                        "/plantainhatch/v1/announce", {}, announcement.dump())
+                  .status);
+  const auto send = [&] {
+    return fleet.http.send(fleet.callers()[0], "POST", "/release/9", {},
+                           "pallet");
+  };
+  CHECK_EQUAL(503, send().status);
+  CHECK(hasRefused);
+  CHECK_EQUAL(0, runs.load());
+  const HttpAnswer second = send();
+  CHECK_EQUAL(200, second.status);
+  CHECK_EQUAL(1, runs.load());
+}
+
 TEST(AtMostOnce, CallWithAKeyThatNoTargetTakesCanBeSentAgain) {
   Fleet fleet(makePlan(1, 1));
   CHECK(fleet.start());
