Bear odd entries: deep nesting and numbers that are too large

In part. - A table of the configuration was copied, which nests as deeply as it does: a field that nests 200,000 levels deep ended the process. Nodes start, find one another and serve.

--- a/test/platform/AdapterTest.cpp
+++ b/test/platform/AdapterTest.cpp
@@ -78,6 +78,13 @@
   return heartbeat;
 }
 
+/** As deep as a row of the store can hold, and deeper. */
+constexpr std::size_t NestedLevels = 200'000;
+
+std::string nested() {
+  return std::string(NestedLevels, '[') + std::string(NestedLevels, ']');
+}
+
 } // namespace
 
 TEST_GROUP(PlatformDialect){};
@@ -167,6 +174,50 @@
   CHECK(!platform::parseHeartbeat("i-1", "{").has_value());
 }
 
+// Guards against a process that ends, or a span of time that overflows, at one
+// odd heartbeat of another writer.
+TEST(Heartbeats, OddOnesNameNoTarget) {
+  const auto isRejected = [](const std::string &body) {
+    return !platform::parseHeartbeat("i-1", body).has_value();
+  };
+  CHECK(isRejected(std::string(NestedLevels, '[')));
+  CHECK(isRejected(nested()));
+  json body = goodHeartbeat();
+  for (const char *const address :
+       {"127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:-1",
+        "127.0.0.1:99999999999999999999", "127.0.0.1:", "127.0.0.1:8e3"}) {
+    body["address"] = address;
+    CHECK_TEXT(isRejected(body.dump()), address);
+  }
+  const std::string sound = goodHeartbeat().dump();
+  for (const char *const number :
+       {"9223372036854775807", "9223372036854775808", "18446744073709551615",
+        "1e400", "1e30", "99999999999999999999999999"}) {
+    json odd = goodHeartbeat();
+    odd["status"]["cold_remaining_ms"] = "NUMBER";
+    std::string text = odd.dump();
+    text.replace(text.find("\"NUMBER\""), 8, number);
+    CHECK_TEXT(isRejected(text), number);
+  }
+  CHECK_FALSE(isRejected(sound));
+  body = goodHeartbeat();
+  body["extra"] = "NESTED";
+  std::string text = body.dump();
+  text.replace(text.find("\"NESTED\""), 8, nested());
+  CHECK_FALSE(isRejected(text));
+}
+
+// Guards against an overflow by a cold time that is too large.
+TEST(Heartbeats, ColdTimeOfAHealthAnswerThatIsTooLargeIsIgnored) {
+  const auto coldTime = [](const char *text) {
+    return platform::readColdTime({{"X-Plantainhatch-Cold-Milliseconds", text}})
+        .count();
+  };
+  CHECK_EQUAL(1'500, coldTime("1500"));
+  CHECK_EQUAL(0, coldTime("9223372036854775807"));
+  CHECK_EQUAL(0, coldTime("99999999999999999999"));
+}
+
 TEST(Heartbeats, AllFaultsAreReportedTogether) {
   const auto read = platform::parseHeartbeat("i-1", "{}");
   CHECK(read.error().size() >= 5);
@@ -253,6 +304,24 @@
   }
 }
 
+// Guards against a process that ends at a field that nests very deeply.
+TEST(OperatorRows, DeeplyNestedFieldsDoNotEndTheProcess) {
+  const std::string deep = nested();
+  const auto read = [](const std::string &document) {
+    const std::string text = platform::encodeRows({{"config", document}});
+    return platform::decodeConfiguration(
+        platform::makeConfigurationHead(1, text), text);
+  };
+  CHECK_FALSE(read(deep).has_value());
+  CHECK_FALSE(read(R"({"routes":)" + deep + R"(,"services":{}})").has_value());
+  CHECK(
+      read(R"({"routes":{},"services":{},"extra":)" + deep + "}").has_value());
+  CHECK(read(R"({"routes":{"r":{"host":"h","prefix":"/p/","kind":"safe",)"
+             R"("service":"s","extra":)" +
+             deep + R"(}},"services":{}})")
+            .has_value());
+}
+
 TEST(OperatorRows, UnreadableRowsNameNothing) {
   CHECK(!decode({{"config", "{"}}).has_value());
   CHECK(!decode({{"evacuate/zone-1", "{}"}}).has_value());
--- a/test/platform/SitePathTest.cpp
+++ b/test/platform/SitePathTest.cpp
@@ -61,6 +61,34 @@
       [&] { return site.call(0, "GET", "/v2/x", "newest").status == 200; }));
 }
 
+// Guards against nodes that end, or find none of the others, as another writer
+// left odd entries among theirs.
+TEST(SitePath, OddEntriesOfAnotherWriterHideNoNode) {
+  const std::string nested =
+      std::string(60'000, '[') + std::string(60'000, ']');
+  const std::string odd[] = {"127.0.0.1:65536",
+                             "127.0.0.1:99999999999999999999",
+                             "1e400",
+                             "",
+                             std::string("\xff\x00\xfe", 3),
+                             nested};
+  const auto isStoreUp = [&] { return site.setStore({{"mode", "up"}}) == 200; };
+  CHECK(Fleet::waitUntil(isStoreUp));
+  for (std::size_t n = 0; n < std::size(odd); ++n)
+    site.writeRowOf("site-seeds", "odd/" + std::to_string(n), odd[n]);
+  site.writeRowOf("site-seeds", "zone-0/0", "127.0.0.1:99999");
+  site.writeRow("odd/" + nested.substr(0, 100), nested);
+  CHECK(site.start());
+  CHECK_EQUAL(400, site.http
+                       .send(site.machines[0]->targets, "PUT", "/instances/odd",
+                             {}, nested)
+                       .status);
+  for (std::size_t n = 0; n < site.machines.size(); ++n) {
+    CHECK(site.machines[n]->node->isRunning());
+    CHECK_EQUAL(200, site.call(n, "GET", "/read/x", "odd").status);
+  }
+}
+
 TEST(SitePath, NodeWithoutAConfigurationPromisesThatNothingRan) {
   site.startNode(0);
   CHECK(Fleet::waitUntil([&] {
