Bound what an answer without an end takes up

What was seen with a server that does so: interim answers without end kept the process reading, and nothing else, until the server stopped (5 s in the test); a health check whose body does not end was read on beside each later one, without a limit on connections; an answer of the store was gathered without a limit for as long as the request may take. Open: an answer of the target's own that does not end is passed on until the caller leaves.

--- a/src/connection/Exchange.cpp
+++ b/src/connection/Exchange.cpp
@@ -109,7 +109,14 @@
 
 void Exchange::readMore() {
   std::string bytes;
+  std::size_t total = 0;
   auto result = StreamSocket::ReadResult::Nothing;
+  const auto mayReadOn = [&] {
+    return result == StreamSocket::ReadResult::Bytes &&
+           total < MaxReadPerTurn && reader.body.size() < MaxReadAhead &&
+           (reader.state() == HttpMessageReader::State::Head ||
+            reader.state() == HttpMessageReader::State::Body);
+  };
   do {
     bytes.clear();
     result = socket.read(bytes, ReadBytes);
@@ -117,10 +124,8 @@
       const std::size_t n = reader.feed(bytes);
       hasExtraBytes = hasExtraBytes || n < bytes.size();
     }
-  } while (result == StreamSocket::ReadResult::Bytes &&
-           reader.body.size() < MaxReadAhead &&
-           reader.state() != HttpMessageReader::State::Complete &&
-           reader.state() != HttpMessageReader::State::Malformed);
+    total += bytes.size();
+  } while (mayReadOn());
   if (result == StreamSocket::ReadResult::End)
     reader.feedEnd();
   const bool isBroken =
--- a/src/connection/Exchange.h
+++ b/src/connection/Exchange.h
@@ -70,6 +70,8 @@
   static constexpr std::size_t MaxDiscarded = 256UL * 1024;
   /** What is read ahead of the reader of the body. */
   static constexpr std::size_t MaxReadAhead = 64UL * 1024;
+  /** What is read in one turn of the main loop, so that others have theirs. */
+  static constexpr std::size_t MaxReadPerTurn = 256UL * 1024;
 
   /** Lets the other process see that the answer is no longer wanted, and tells
    * when it has let go of the request. Only the sending side of the connection
--- a/src/connection/HttpMessageReader.cpp
+++ b/src/connection/HttpMessageReader.cpp
@@ -45,6 +45,7 @@
   http_parser_pause(&parser, 0);
   current = State::Head;
   headBytes = 0;
+  interimAnswers = 0;
   isLastField = hasNoBody = isKeptAlive = false;
   target.clear();
   headers.clear();
@@ -111,7 +112,10 @@
   if (current != State::Body) {
     headers.clear();
     headBytes = 0;
-    return 0;
+    if (++interimAnswers <= MaxInterimAnswers)
+      return 0;
+    current = State::Malformed;
+    return 1;
   }
   isKeptAlive = http_should_keep_alive(&parser) != 0;
   current = State::Complete;
--- a/src/connection/HttpMessageReader.h
+++ b/src/connection/HttpMessageReader.h
@@ -19,6 +19,8 @@
 public:
   /** Larger heads are refused. */
   static constexpr std::size_t MaxHeadBytes = 16UL * 1024;
+  /** More interim answers before the final one make it malformed. */
+  static constexpr unsigned MaxInterimAnswers = 32;
 
   enum class State : std::uint8_t {
     Head,
@@ -63,6 +65,7 @@
   http_parser parser{};
   State current = State::Head;
   std::size_t headBytes = 0;
+  unsigned interimAnswers = 0;
   bool isLastField = false;
   bool hasNoBody = false;
   bool isKeptAlive = false;
--- a/src/node/RemoteDispatch.cpp
+++ b/src/node/RemoteDispatch.cpp
@@ -128,10 +128,16 @@
     action(std::move(result));
 }
 
-void drain(const AnswerSourcePtr &source) {
-  source->read([source](const Chunk &chunk) {
-    if (std::holds_alternative<GBytesPtr>(chunk))
-      drain(source);
+void drain(const AnswerSourcePtr &source, std::size_t limit) {
+  source->read([source, limit](const Chunk &chunk) {
+    const auto *const bytes = std::get_if<GBytesPtr>(&chunk);
+    if (bytes == nullptr)
+      return;
+    const std::size_t n = g_bytes_get_size(bytes->get());
+    if (n < limit)
+      drain(source, limit - n);
+    else
+      source->cancel();
   });
 }
 
--- a/src/node/RemoteDispatch.h
+++ b/src/node/RemoteDispatch.h
@@ -50,9 +50,13 @@
   void deliver(DispatchResult result);
 };
 
+/** The most that drain() reads. */
+inline constexpr std::size_t MaxDrainedBytes = 16UL * 1024 * 1024;
+
 /** Reads and discards the rest of an answer body, so that its connection can
- * be reused. \pre No read of \p source is pending. */
-void drain(const AnswerSourcePtr &source);
+ * be reused. Cancels \p source after \p limit bytes. \pre No read of \p source
+ * is pending. */
+void drain(const AnswerSourcePtr &source, std::size_t limit = MaxDrainedBytes);
 
 } // namespace plantainhatch
 
--- a/test/platform/SitePathTest.cpp
+++ b/test/platform/SitePathTest.cpp
@@ -2,6 +2,8 @@
  * The whole path at a site of the platform, with real nodes on loopback. */
 #include "operator/MainLoop.h"
 #include "platform/SiteFixture.h"
+#include "support/ProcessUsage.h"
+#include "support/ScriptedServer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -126,6 +128,33 @@
   }
 }
 
+// Guards against connections and memory that are taken up without end by health
+// checks and calls whose answers do not end.
+TEST(SitePath, TargetWhoseAnswersDoNotEndTakesUpLittle) {
+  CHECK(site.start());
+  SiteMachine &machine = *site.machines[0];
+  machine.target->crash();
+  const ScriptedServer endless(
+      machine.targetAddress,
+      "HTTP/1.1 200 OK\r\nX-Plantainhatch-Instance-Id: i-0\r\n\r\n",
+      std::string(16UL * 1024, 'x'));
+  CHECK_EQUAL(200, site.beat(0, "ready"));
+  for (int n = 0; n < 30; ++n) {
+    const TimePoint askedAt = std::chrono::steady_clock::now();
+    CHECK(site.isReady(0));
+    CHECK(std::chrono::steady_clock::now() - askedAt < milliseconds(500));
+    const auto answer =
+        site.call(0, "GET", "/read/x", "endless-" + std::to_string(n));
+    CHECK_EQUAL(200, answer.status);
+    pause(milliseconds(50));
+  }
+  constexpr unsigned MaxOpen = 8;
+  CHECK(endless.acceptedConnections() > MaxOpen);
+  CHECK(endless.openConnections() <= MaxOpen);
+  constexpr std::uint64_t MaxResidentKib = 32UL * 1024;
+  CHECK(ProcessUsage(machine.node->id()).peakResidentKib() < MaxResidentKib);
+}
+
 TEST(SitePath, UnsafeCallsRunOnceWhateverComesBack) {
   CHECK(site.start());
   for (const Manner manner :
