--- a/test/support/ScriptedServer.cpp
+++ b/test/support/ScriptedServer.cpp
@@ -19,6 +19,8 @@
 
 int listenAt(const Address &address) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    std::abort();
   const int yes = 1;
   setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
   sockaddr_in storage{};
