--- a/src/connection/BulkMessage.h
+++ b/src/connection/BulkMessage.h
@@ -70,8 +70,8 @@
   }
 };
 
-/** Answers a SyncPush and a ConfigurationOffer, and a ConfigurationRequest about
- * which the node can say nothing. */
+/** Answers a SyncPush and a ConfigurationOffer, and a ConfigurationRequest
+ * about which the node can say nothing. */
 struct PushReply {
   template <typename Archive> void serialize(Archive & /*archive*/) {}
 };
