Log turns of the main loop that take longer than 100 ms

While a turn lasts, nothing is accepted or read, and nothing showed how long one takes. main_loop_turn_seconds has all of them.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,5 +1,6 @@
 #include "node/Node.h"
 
+#include "connection/TurnMonitor.h"
 #include "node/ForwardedCall.h"
 #include "request/HeaderNames.h"
 #include "request/HttpStatus.h"
@@ -88,11 +89,25 @@
         measure->setRates(configuration->current()->measure());
       });
   gate->onLoadStep([this] { broadcastLoad(); });
+  TurnMonitor::instance().setListener(
+      [this](Duration turn) { onTurnEnded(turn); });
   countTimer.startRepeating(EventCountFlushInterval, [this] {
     services.events.flushCounts(services.stamp());
   });
 }
 
+void Node::onTurnEnded(Duration turn) {
+  services.metrics.latency("main_loop_turn_seconds").record(turn);
+  if (turn < LongTurn)
+    return;
+  services.logDecision(
+      DecisionKind::StateChange,
+      {{"event", "long-turn"},
+       {"ms", std::chrono::floor<std::chrono::milliseconds>(turn).count()},
+       {"version", configuration->current()->head().version},
+       {"callsInProgress", callsInProgress}});
+}
+
 void Node::broadcastLoad() {
   const LoadReport report = gate->load();
   for (const auto &[address, member] : peers->membership().others())
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -37,6 +37,8 @@
    * learn it from the readiness check: it runs once per second, and two
    * failures in a row take effect. */
   static constexpr std::chrono::milliseconds MinSiteDrainTime{2'600};
+  /** A longer turn of the main loop is logged. */
+  static constexpr std::chrono::milliseconds LongTurn{100};
   /** A node in site mode ends this long before the platform kills the process,
    * even with calls in progress. */
   static constexpr std::chrono::milliseconds StopMargin{300};
@@ -97,6 +99,7 @@
   void serveForward(const IncomingCallPtr &call);
   void broadcastLoad();
   bool isMinDrainTimeOver() const;
+  void onTurnEnded(Duration turn);
   void continueStop();
 };
 
