--- a/test/correctness/ConfigurationTest.cpp
+++ b/test/correctness/ConfigurationTest.cpp
@@ -122,6 +122,38 @@
   CHECK_EQUAL(20, behind.version());
 }
 
+// Guards against a whole table for each change, where the store numbers its
+// versions in uneven steps.
+TEST(Configuration, LaggingPeerIsBroughtForwardByStepsOfAnyLength) {
+  ConfigurationReplica ahead;
+  ConfigurationReplica behind;
+  for (const unsigned n : {3U, 7U, 40U, 41U}) {
+    ahead.adopt(headFor(n, textWith(n)), textWith(n));
+    if (n == 7)
+      behind.adopt(headFor(n, textWith(n)), textWith(n));
+  }
+  const auto update =
+      ahead.updateFor(behind.version(), behind.current()->head().digest);
+  CHECK_FALSE(update->snapshot.has_value());
+  CHECK(behind.adopt(*update) == AdoptResult::Adopted);
+  CHECK_EQUAL(41, behind.version());
+  STRCMP_EQUAL(textWith(41).c_str(), behind.current()->text().c_str());
+}
+
+// Guards against a whole table for a peer that has it already, under the number
+// of an earlier version.
+TEST(Configuration, PeerWithTheSameTextGetsOnlyTheHead) {
+  ConfigurationReplica ahead;
+  ConfigurationReplica behind;
+  ahead.adopt(headFor(9, textWith(1)), textWith(1));
+  behind.adopt(headFor(4, textWith(1)), textWith(1));
+  const auto update =
+      ahead.updateFor(behind.version(), behind.current()->head().digest);
+  CHECK_FALSE(update->snapshot.has_value());
+  CHECK(behind.adopt(*update) == AdoptResult::Adopted);
+  CHECK_EQUAL(9, behind.version());
+}
+
 TEST(Configuration, PeerWithAnotherTextGetsTheWholeOne) {
   ConfigurationReplica ahead;
   for (unsigned n = 1; n <= 3; ++n)
--- a/test/error/HttpMessageFaultsTest.cpp
+++ b/test/error/HttpMessageFaultsTest.cpp
@@ -93,6 +93,19 @@
   CHECK(chunked.state() == State::Malformed);
 }
 
+// Guards against a whole answer made of one whose head broke off.
+TEST(HttpMessageFaults, AnswerCutInItsHeadIsNotWhole) {
+  const std::string head = "HTTP/1.1 200 OK\r\nServer-Signature: a\r\n"
+                           "Content-Length: 3\r\nConnection: close\r\n\r\n";
+  for (std::size_t n = 0; n < head.size(); ++n) {
+    HttpMessageReader cut(HTTP_RESPONSE);
+    cut.feed(head.substr(0, n));
+    CHECK_FALSE(cut.hasHead());
+    cut.feedEnd();
+    CHECK(cut.state() == State::Malformed);
+  }
+}
+
 TEST(HttpMessageFaults, AnswerWithoutALengthEndsWithItsConnection) {
   answer.feed("HTTP/1.1 200 OK\r\n\r\nabc");
   CHECK(answer.state() == State::Body);
--- a/test/platform/SiteFixture.cpp
+++ b/test/platform/SiteFixture.cpp
@@ -166,6 +166,15 @@
 
 void SiteTarget::release() {
   manner = Manner::Answer;
+  answerHeld();
+}
+
+void SiteTarget::fail() {
+  manner = Manner::Fail;
+  answerHeld();
+}
+
+void SiteTarget::answerHeld() {
   for (const IncomingCallPtr &call : std::exchange(held, {}))
     answerCall(call,
                findHeader(call->request().headers, IdHeader).value_or(""));
--- a/test/platform/SiteFixture.h
+++ b/test/platform/SiteFixture.h
@@ -48,6 +48,8 @@
   }
   /** Answers what is held. */
   void release();
+  /** The same with failures. */
+  void fail();
 
   /** Ends without a word, and with it all connections. */
   void crash();
@@ -91,6 +93,7 @@
   void serve(const IncomingCallPtr &call);
   void answerLater(const IncomingCallPtr &call, const std::string &id);
   void answerCall(const IncomingCallPtr &call, const std::string &id);
+  void answerHeld();
 };
 
 /** One machine of the site. */
--- a/test/platform/SitePathTest.cpp
+++ b/test/platform/SitePathTest.cpp
@@ -9,6 +9,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
 #include <csignal>
 
 using namespace plantainhatch;
@@ -155,6 +156,56 @@
   CHECK(ProcessUsage(machine.node->id()).peakResidentKib() < MaxResidentKib);
 }
 
+// Guards against a success with an empty or short body that looks whole, made
+// of an answer whose head broke off.
+TEST(SitePath, AnswerCutInItsHeadIsNeverASuccess) {
+  CHECK(site.start());
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Plantainhatch-Request-Attempt-Id: cut\r\n"
+      "X-Plantainhatch-Server-Signature: i-0\r\nContent-Type: text/plain\r\n"
+      "Content-Length: 9\r\nConnection: close\r\n\r\n";
+  std::atomic<std::size_t> length = 0;
+  std::atomic<unsigned> cuts = 0;
+  for (const auto &it : site.machines)
+    it->target->crash();
+  std::vector<std::unique_ptr<ScriptedServer>> cutters;
+  for (std::size_t n = 0; n < site.machines.size(); ++n) {
+    const std::string health =
+        "HTTP/1.1 200 OK\r\nX-Plantainhatch-Instance-Id: i-" +
+        std::to_string(n) +
+        "\r\nX-Plantainhatch-Server-Load: 0,0,9,100\r\n"
+        "Content-Length: 0\r\n\r\n";
+    cutters.push_back(std::make_unique<ScriptedServer>(
+        site.machines[n]->targetAddress,
+        [&length, &cuts, &head, health](ScriptedServer::Connection &it) {
+          while (const auto request = it.readRequest()) {
+            const bool isHealthCheck = request->starts_with("GET /health");
+            it.write(isHealthCheck ? health : head.substr(0, length));
+            if (isHealthCheck)
+              continue;
+            ++cuts;
+            return;
+          }
+        }));
+  }
+  // Around the end of each line; HttpMessageFaults has all lengths.
+  std::vector<std::size_t> lengths;
+  for (std::size_t n = 1; n < head.size(); ++n)
+    if (head[n - 1] == '\n' || head[n] == '\r' || head[n] == '\n')
+      lengths.push_back(n);
+  for (const std::size_t it : lengths) {
+    length = it;
+    for (std::size_t n = 0; n < site.machines.size(); ++n)
+      CHECK_EQUAL(200, site.beat(n, "ready"));
+    // A path of its own, so that no request is taken for one that crashes
+    // targets.
+    const auto answer =
+        site.call(0, "POST", "/write/" + std::to_string(length), "cut");
+    CHECK_TEXT(answer.status >= 500, head.substr(0, length).c_str());
+  }
+  CHECK(cuts > lengths.size() / 2);
+}
+
 TEST(SitePath, UnsafeCallsRunOnceWhateverComesBack) {
   CHECK(site.start());
   for (const Manner manner :
@@ -259,6 +310,38 @@
   CHECK_EQUAL(200, held->status);
 }
 
+// Guards against calls that a stopping node takes late in its grace and cuts
+// without an answer at the end of it.
+TEST(SitePath, NoCallIsCutByAPlannedStop) {
+  CHECK(site.start());
+  for (const auto &it : site.machines)
+    it->target->setServiceTime(milliseconds(1'500));
+  std::vector<SiteFixture::PendingCall> calls;
+  site.machines[0]->node->signal(SIGTERM);
+  for (unsigned n = 0; site.machines[0]->node->isRunning(); ++n) {
+    CallRequest request;
+    request.method = n % 2 == 0 ? "POST" : "GET";
+    request.target = n % 2 == 0 ? "/write/x" : "/read/x";
+    request.headers = {
+        {"Host", "h.example"},
+        {"X-Plantainhatch-Request-Attempt-Id", "stop-" + std::to_string(n)},
+        {"X-Plantainhatch-Deadline-Milliseconds", "4000"}};
+    calls.push_back(site.send(0, request, n % 4 < 2));
+    pause(milliseconds(50));
+  }
+  CHECK_EQUAL(0, site.machines[0]->node->wait());
+  std::size_t answered = 0;
+  for (std::size_t n = 0; n < calls.size(); ++n) {
+    const unsigned status = calls[n].answer->status;
+    const unsigned runs = site.runsOf("stop-" + std::to_string(n));
+    const std::string text =
+        "call " + std::to_string(n) + " of " + std::to_string(calls.size());
+    CHECK_TEXT(status == 200 || runs == 0, text.c_str());
+    answered += status == 200 ? 1 : 0;
+  }
+  CHECK(answered > 0);
+}
+
 TEST(SitePath, CallerThatLeavesIsNotServedAnyMore) {
   CHECK(site.start());
   setAll(Manner::Hold);
@@ -283,6 +366,69 @@
   CHECK_EQUAL(1, site.runsOf("left"));
 }
 
+// Guards against a request that is handed over although its caller has left, as
+// the node read the request and the end of its connection at the same time.
+TEST(SitePath, RequestThatWasGivenUpBeforeItWasReadIsNotRun) {
+  CHECK(site.start());
+  const auto handedOver = [&] {
+    const std::string text =
+        site.http.get(site.machines[0]->metrics, "/plantainhatch/v1/metrics")
+            .body;
+    const std::string name = "plantainhatch_gate_handed_over_total ";
+    const auto at = text.find("\n" + name);
+    return at == std::string::npos
+               ? 0
+               : std::stoi(text.substr(at + 1 + name.size()));
+  };
+  for (std::size_t n = 1; n < site.machines.size(); ++n)
+    site.machines[n]->node->kill();
+  CHECK_EQUAL(200, site.call(0, "GET", "/read/x", "before").status);
+  const int before = handedOver();
+  for (unsigned n = 0; n < 20; ++n) {
+    auto socket = StreamSocket::connect(site.machines[0]->callers);
+    CHECK(socket.has_value());
+    pause(milliseconds(20));
+    site.machines[0]->node->signal(SIGSTOP);
+    CHECK(socket->write("GET /read/x HTTP/1.1\r\nHost: h.example\r\n"
+                        "X-Plantainhatch-Request-Attempt-Id: left-" +
+                        std::to_string(n) +
+                        "\r\nX-Plantainhatch-Deadline-Milliseconds: 2000\r\n"
+                        "\r\n"));
+    socket->close();
+    pause(milliseconds(20));
+    site.machines[0]->node->signal(SIGCONT);
+  }
+  CHECK_EQUAL(200, site.call(0, "GET", "/read/x", "after").status);
+  CHECK_EQUAL(before + 1, handedOver());
+}
+
+// Guards against a call that is sent to a second target after its caller has
+// left, as the node learned of both at the same time and of the failure first.
+TEST(SitePath, CallWhoseCallerHasLeftIsNotRepeatedAfterAFailure) {
+  CHECK(site.start());
+  for (unsigned n = 0; n < 20; ++n) {
+    const std::string id = "repeat-" + std::to_string(n);
+    setAll(Manner::Hold);
+    CallRequest request;
+    request.method = "GET";
+    request.target = "/read/x";
+    request.headers = {{"Host", "h.example"},
+                       {"X-Plantainhatch-Request-Attempt-Id", id},
+                       {"X-Plantainhatch-Deadline-Milliseconds", "2000"}};
+    const auto call = site.send(0, request, false);
+    CHECK(Fleet::waitUntil([&] { return site.runsOf(id) == 1; }));
+    site.machines[0]->node->signal(SIGSTOP);
+    for (const auto &it : site.machines)
+      it->target->fail();
+    pause(milliseconds(20));
+    call.giveUp();
+    pause(milliseconds(20));
+    site.machines[0]->node->signal(SIGCONT);
+    pause(milliseconds(100));
+    CHECK_EQUAL(1, site.runsOf(id));
+  }
+}
+
 TEST(SitePath, PipelinedRequestsAreAnsweredInTheirOrder) {
   CHECK(site.start());
   const auto one = [](const char *id, const char *connection) {
