Do not begin or repeat calls whose callers have left

Cause: what a node finds in one turn of its main loop was handled in any order. It read a request and the end of its connection together, handed the request over, and looked at the end afterwards; and it repeated a call after a failure before it learned, in the same turn, that the caller had closed. Both need a node that is late, for whatever reason.

Change: the end of a connection is noted before what was read is parsed; hang-ups come first in each turn; before an attempt other than the first, the caller's socket is asked.

--- a/src/connection/IncomingCall.cpp
+++ b/src/connection/IncomingCall.cpp
@@ -34,6 +34,10 @@
     abort();
 }
 
+bool IncomingCall::hasCallerLeft() const {
+  return !connection || connection->hasPeerClosed();
+}
+
 std::string IncomingCall::makeHead(unsigned status,
                                    const HeaderList &headers) const {
   std::string head =
--- a/src/connection/IncomingCall.h
+++ b/src/connection/IncomingCall.h
@@ -39,6 +39,10 @@
   /** Calls \p action if the other side goes before it was answered in full. */
   void onGone(Action action) { goneAction = std::move(action); }
 
+  /** True if the other side has closed, even if \ref onGone() has not been
+   * called yet, as the main loop was busy. */
+  bool hasCallerLeft() const;
+
   /** Answers whole. \pre Nothing was answered before. */
   void reply(unsigned status, const HeaderList &headers,
              const std::string &body);
--- a/src/connection/Reactor.cpp
+++ b/src/connection/Reactor.cpp
@@ -3,7 +3,9 @@
 #include <glib-unix.h>
 #include <sys/epoll.h>
 
+#include <algorithm>
 #include <array>
+#include <span>
 
 namespace plantainhatch {
 
@@ -57,8 +59,14 @@
 void Reactor::dispatch() {
   std::array<epoll_event, EventsPerTurn> events{};
   const int n = epoll_wait(epoll, events.data(), EventsPerTurn, 0);
-  for (int it = 0; it < n; ++it) {
-    const epoll_event &event = events[static_cast<std::size_t>(it)];
+  const std::span ready(events.data(),
+                        static_cast<std::size_t>(std::max(n, 0)));
+  // A connection that has ended may have given up what another event of this
+  // turn would begin.
+  std::ranges::stable_partition(ready, [](const epoll_event &it) {
+    return (it.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  });
+  for (const epoll_event &event : ready) {
     const auto fd =
         static_cast<int>(static_cast<std::uint32_t>(event.data.u64));
     // An earlier handler of this turn may have closed the socket, and opened
--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -34,6 +34,10 @@
 
 void ServerConnection::onReady(std::uint32_t events) {
   const ConnectionPtr self(this);
+  // Requests that are read together with the end of their connection have been
+  // given up, and are not begun.
+  hasPeerEnded =
+      hasPeerEnded || (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
   if ((events & EPOLLOUT) != 0 && !socket.flush()) {
     onBroken();
     return;
@@ -50,7 +54,7 @@
     parse();
   // A peer that closes while its request is served has gone; the rest of its
   // input no longer matters.
-  if (!isDone && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+  if (!isDone && hasPeerEnded)
     onPeerEnded();
 }
 
@@ -79,8 +83,8 @@
   if (std::exchange(isParsing, true))
     return;
   const ConnectionPtr self(this);
-  while (!isDone && call == nullptr && !isClosing && !input.empty() &&
-         parseOne()) {
+  while (!isDone && call == nullptr && !isClosing && !hasPeerEnded &&
+         !input.empty() && parseOne()) {
   }
   isParsing = false;
   if (!isDone && input.size() < MaxReadAhead && !hasPeerEnded)
@@ -165,7 +169,7 @@
     return;
   }
   reader.restart();
-  if (hasPeerEnded && input.empty())
+  if (hasPeerEnded)
     onPeerEnded();
   else
     parse();
@@ -182,12 +186,7 @@
     held->leave();
     return;
   }
-  if (isLingering || input.empty() || isClosing)
-    end();
-  else
-    parse();
-  if (!isDone && call == nullptr)
-    end();
+  end();
 }
 
 void ServerConnection::onBroken() {
--- a/src/connection/ServerConnection.h
+++ b/src/connection/ServerConnection.h
@@ -45,6 +45,12 @@
   /** True if the request under way allows another one after it. */
   bool keepsAlive() const { return reader.keepsAlive() && !isClosing; }
 
+  /** True if the other side has closed, even if the main loop has not reported
+   * it yet. */
+  bool hasPeerClosed() const {
+    return isDone || hasPeerEnded || socket.hasPeerClosed();
+  }
+
   /** Sends bytes of an answer. */
   void send(std::string_view bytes) { sendThen(bytes, nullptr); }
   /** Sends bytes and calls \p written when they have left. */
--- a/src/connection/StreamSocket.cpp
+++ b/src/connection/StreamSocket.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -211,4 +212,9 @@
   return n >= 0 || !wouldBlock();
 }
 
+bool StreamSocket::hasPeerClosed() const {
+  pollfd state{fd, POLLRDHUP, 0};
+  return poll(&state, 1, 0) > 0;
+}
+
 } // namespace plantainhatch
--- a/src/connection/StreamSocket.h
+++ b/src/connection/StreamSocket.h
@@ -64,6 +64,9 @@
   Address peer() const;
   /** True if the other side has closed, or has sent what nobody asked for. */
   bool isStale() const;
+  /** True if the other side has closed, even if the main loop has not reported
+   * it yet. */
+  bool hasPeerClosed() const;
 
 private:
   int fd = -1;
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -201,6 +201,11 @@
 }
 
 void IngressCall::forward(bool mayQueue) {
+  const bool isRepeat = !decision->tried().empty();
+  if (isRepeat && !isClaimHeld && incoming->hasCallerLeft()) {
+    onCallerDisconnected();
+    return;
+  }
   const auto picked = task.pick(*configuration, service, decision->tried());
   if (!picked) {
     perform(decision->onNoCandidate());
