Wait until a suspended process has stopped, in two tests

The library sends signals from a thread of its own, so that the node could read a request before SIGSTOP reached it, and its caller had not closed then.

suspend() waits until the process counts as stopped.

--- a/test/platform/SitePathTest.cpp
+++ b/test/platform/SitePathTest.cpp
@@ -388,7 +388,7 @@
     auto socket = StreamSocket::connect(site.machines[0]->callers);
     CHECK(socket.has_value());
     pause(milliseconds(20));
-    site.machines[0]->node->signal(SIGSTOP);
+    site.machines[0]->node->suspend();
     CHECK(socket->write("GET /read/x HTTP/1.1\r\nHost: h.example\r\n"
                         "X-Plantainhatch-Request-Attempt-Id: left-" +
                         std::to_string(n) +
@@ -417,7 +417,7 @@
                        {"X-Plantainhatch-Deadline-Milliseconds", "2000"}};
     const auto call = site.send(0, request, false);
     CHECK(Fleet::waitUntil([&] { return site.runsOf(id) == 1; }));
-    site.machines[0]->node->signal(SIGSTOP);
+    site.machines[0]->node->suspend();
     for (const auto &it : site.machines)
       it->target->fail();
     pause(milliseconds(20));
--- a/test/support/ChildProcess.cpp
+++ b/test/support/ChildProcess.cpp
@@ -1,7 +1,9 @@
 #include "support/ChildProcess.h"
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 
 namespace plantainhatch::test {
@@ -32,6 +34,18 @@
   g_subprocess_send_signal(process.get(), number);
 }
 
+void ChildProcess::suspend() {
+  // The signal is sent by another thread.
+  signal(SIGSTOP);
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+  std::string fields;
+  while (fields.find(") T") == std::string::npos &&
+         std::chrono::steady_clock::now() < end) {
+    std::ifstream file("/proc/" + std::to_string(processId) + "/stat");
+    std::getline(file, fields);
+  }
+}
+
 void ChildProcess::kill() {
   g_subprocess_force_exit(process.get());
   g_subprocess_wait(process.get(), nullptr, nullptr);
--- a/test/support/ChildProcess.h
+++ b/test/support/ChildProcess.h
@@ -25,6 +25,8 @@
 
   /** Sends a signal. */
   void signal(int number);
+  /** Sends SIGSTOP and waits until it has stopped, for a second at most. */
+  void suspend();
   /** Kills it and waits for its end. */
   void kill();
   /** Waits for its end. \return the exit code, or -1 if it was ended by a
