--- a/test/platform/CurrentVersionTest.cpp
+++ b/test/platform/CurrentVersionTest.cpp
@@ -17,6 +17,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <thread>
 
 using namespace plantainhatch;
 using namespace plantainhatch::test;
@@ -292,3 +293,27 @@
   CHECK(Fleet::waitUntil([&] { return read.has_value(); }));
   CHECK(read->result == StoreResult::Unknown);
 }
+
+// Guards against a long table that a node on a slow link never gets whole, as
+// the time limit of the request ends each try.
+TEST(CurrentVersion, BodyThatKeepsComingIsReadToItsEnd) {
+  constexpr unsigned Pieces = 8;
+  const Address address = freeAddress();
+  const ScriptedServer server(address, [](ScriptedServer::Connection &it) {
+    it.readRequest();
+    it.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Pieces) +
+             "\r\n\r\n");
+    for (unsigned n = 0; n < Pieces; ++n) {
+      std::this_thread::sleep_for(StoreClient::Timeout / 4);
+      it.write("x");
+    }
+    it.readRequest();
+  });
+  StoreClient client("http://" + address.toString());
+  std::optional<ObjectResult> read;
+  client.readObject("slow",
+                    [&](ObjectResult result) { read = std::move(result); });
+  CHECK(Fleet::waitUntil([&] { return read.has_value(); }));
+  CHECK(read->result == StoreResult::Ok);
+  CHECK_EQUAL(Pieces, read->bytes.size());
+}
