Move and apply the changes of a large table, not the table

Cause: a change of one route cost each node the whole table. The store sent it to each as one row; each node pulled it from up to three others, and never as a delta, as deltas were kept between consecutive numbers only and the store's are not; a turn of the main loop parsed it twice, with its neighbours' copies behind it. A turn of over a second counted as a pause, after which the table was read again.

Change: one node of each failure domain waits at the store, the others pull deltas, which are kept between any two versions in turn and hold any number of edited lines; versions have the number of the row that changed last, the same at all nodes; long updates are read from the store.

Added there: a change of one route parses no other, and changes give the text that all rows give.

Old and new nodes cannot exchange deltas; beside each other they read the store.

--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -58,6 +58,7 @@
 }
 
 void ConfigurationTask::onConfirmed(TimePoint askedAt, std::uint64_t version) {
+  isSourceFailing = false;
   if (version < replica.version())
     check.onNotConfirmed();
   else
@@ -233,17 +234,35 @@
   finishAdoption(result, before, "the operator's command");
 }
 
-void ConfigurationTask::pull(const Address &peer) {
+void ConfigurationTask::onBuilt(const ConfigurationPtr &built,
+                                const std::string &source) {
+  const ConfigurationPtr before = replica.current();
+  const AdoptResult result = replica.adopt(built);
+  finishAdoption(result, before, source);
+}
+
+bool ConfigurationTask::mustFollowSource(std::size_t readers) const {
+  return replica.version() == 0 ||
+         peers.membership().isIsolated(NodeServices::now()) ||
+         isSelectedFor(peers.membership(), "follow-source", readers);
+}
+
+void ConfigurationTask::pull(const Address &peer, UpdateSize size) {
   if (pulls.size() >= MaxPulls || !pulls.insert(peer).second)
     return;
   const TimePoint askedAt = NodeServices::now();
+  // Without a digest, the peer sends the whole text, however long it is.
+  const std::string digest = size == UpdateSize::Any
+                                 ? std::string()
+                                 : replica.current()->head().digest;
   peers.request(
-      peer,
-      ConfigurationRequest{replica.version(), replica.current()->head().digest},
-      [this, peer, askedAt](const std::optional<BulkReplyBody> &body) {
+      peer, ConfigurationRequest{replica.version(), digest},
+      [this, peer, size, askedAt](const std::optional<BulkReplyBody> &body) {
         pulls.erase(peer);
         const auto *const reply =
             body ? std::get_if<ConfigurationReply>(&*body) : nullptr;
+        if (body && reply == nullptr && size == UpdateSize::Short)
+          requestLongUpdate(peer);
         if (reply == nullptr)
           return;
         guard.onConfirmed(askedAt, FreshnessGuard::Source::Peer);
@@ -255,11 +274,24 @@
       });
 }
 
+void ConfigurationTask::requestLongUpdate(const Address &peer) {
+  const TimePoint now = NodeServices::now();
+  if (!externalSource.confirm || now - lastLongUpdateAt < LongUpdateInterval)
+    return;
+  lastLongUpdateAt = now;
+  if (!storeUp || isSourceFailing || !externalSource.confirm())
+    pull(peer, UpdateSize::Any);
+}
+
 BulkReplyBody ConfigurationTask::answer(const ConfigurationRequest &request) {
   // The peer would take a reply without an update for a confirmation.
   if (isStale() || request.version > replica.version())
     return PushReply{};
-  return ConfigurationReply{replica.updateFor(request.version, request.digest)};
+  auto update = replica.updateFor(request.version, request.digest);
+  const bool mayDecline = externalSource.confirm && !request.digest.empty();
+  if (mayDecline && update && update->textSize() > MaxUpdateBytes)
+    return PushReply{};
+  return ConfigurationReply{std::move(update)};
 }
 
 void ConfigurationTask::setStoreUp(bool isUp, const std::string &cause) {
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -32,6 +32,12 @@
   /** Peers that may be asked for a version at the same time, as one may have
    * fallen silent. */
   static constexpr std::size_t MaxPulls = 3;
+  /** A longer update is not taken from a peer while the external source
+   * answers, as the links between nodes are slower than those to the source. */
+  static constexpr std::size_t MaxUpdateBytes = 32UL * 1024;
+  /** Least time between two requests to the external source for updates that
+   * peers have found too long. */
+  static constexpr std::chrono::milliseconds LongUpdateInterval{500};
 
   /** Called with the configuration that was in force before the adoption. */
   using AdoptedListener = std::function<void(const ConfigurationPtr &before)>;
@@ -67,7 +73,10 @@
    * then, or if a later version is in force, as the answer is from the past. */
   void onConfirmed(TimePoint askedAt, std::uint64_t version);
   /** Called when the source has not answered a request to confirm. */
-  void onNotConfirmed() { check.onNotConfirmed(); }
+  void onNotConfirmed() {
+    isSourceFailing = true;
+    check.onNotConfirmed();
+  }
   /** Calls \p done, at once or within FreshnessCheck::TimeLimit, with whether
    * the version in force is known to be the newest. A later version may have
    * been adopted when it is called. */
@@ -75,6 +84,13 @@
   /** Adopts a version that the store has accepted, if it is newer than the one
    * in force. */
   void onOffered(const ConfigurationOffer &offer);
+  /** The same for a version that \p source has built. */
+  void onBuilt(const ConfigurationPtr &built, const std::string &source);
+  /** True if this node should wait at the external source for changes, which
+   * are large, so that few nodes do: \p readers of each failure domain, and
+   * those that hear from no other node or have no version yet. The others hear
+   * of changes from them. */
+  bool mustFollowSource(std::size_t readers) const;
   /** Returns the update that a peer needs, if any. The reply is another one if
    * this node cannot tell whether the peer needs one. */
   BulkReplyBody answer(const ConfigurationRequest &request);
@@ -107,6 +123,9 @@
   bool isReading = false;
   /** Peers that have been asked for a version and have not replied. */
   std::set<Address> pulls;
+  TimePoint lastLongUpdateAt;
+  /** The external source has not answered the latest request to confirm. */
+  bool isSourceFailing = false;
   bool storeUp = true;
 
   void tick();
@@ -119,7 +138,12 @@
   void onHead(const RowResult &row, TimePoint askedAt);
   void readText(const ConfigurationHead &head);
   void repairHead(const std::string &storedEtag);
-  void pull(const Address &peer);
+  /** Whether an update may be longer than MaxUpdateBytes. */
+  enum class UpdateSize : std::uint8_t { Short, Any };
+  void pull(const Address &peer, UpdateSize size = UpdateSize::Short);
+  /** Asks for an update that \p peer has found too long: the external source,
+   * or \p peer again if that does not answer. */
+  void requestLongUpdate(const Address &peer);
   void finishAdoption(AdoptResult result, const ConfigurationPtr &before,
                       const std::string &source);
   void recordMoves(const ConfigurationPtr &before);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -23,7 +23,7 @@
    */
   CallProtocol callProtocol = makeNativeCallProtocol();
   /** Parses the texts of configuration versions. */
-  ConfigurationReplica::Builder builder = Configuration::build;
+  ConfigurationReplica::Builder builder = ConfigurationReplica::buildRules;
 };
 
 /** Owns all tasks of one process. Not thread-safe: use on the main loop only.
--- a/src/process/ConfigurationReplica.cpp
+++ b/src/process/ConfigurationReplica.cpp
@@ -1,17 +1,44 @@
 #include "process/ConfigurationReplica.h"
 
 #include <algorithm>
-#include <ranges>
+#include <functional>
+#include <iterator>
+#include <numeric>
 
 namespace plantainhatch {
 
-AdoptResult ConfigurationReplica::adopt(const ConfigurationHead &head,
-                                        std::string text) {
+std::size_t ConfigurationUpdate::textSize() const {
+  return std::transform_reduce(deltas.begin(), deltas.end(),
+                               snapshot ? snapshot->second.size() : 0,
+                               std::plus<>(), [](const ConfigurationDelta &it) {
+                                 return it.textDelta.insertedBytes();
+                               });
+}
+
+AdoptResult ConfigurationReplica::compare(const ConfigurationHead &head) const {
   if (head.version == version() && head.digest != active->head().digest)
     return AdoptResult::Conflict;
-  if (head.version <= version())
-    return AdoptResult::NotNewer;
-  return install(head, std::move(text));
+  return head.version <= version() ? AdoptResult::NotNewer
+                                   : AdoptResult::Adopted;
+}
+
+AdoptResult ConfigurationReplica::adopt(const ConfigurationHead &head,
+                                        std::string text) {
+  const AdoptResult result = compare(head);
+  if (result != AdoptResult::Adopted)
+    return result;
+  const auto built = builder(head, std::move(text), *active);
+  if (!built)
+    return AdoptResult::Invalid;
+  install(built.value());
+  return result;
+}
+
+AdoptResult ConfigurationReplica::adopt(const ConfigurationPtr &built) {
+  const AdoptResult result = compare(built->head());
+  if (result == AdoptResult::Adopted)
+    install(built);
+  return result;
 }
 
 AdoptResult ConfigurationReplica::adopt(const ConfigurationUpdate &update) {
@@ -37,49 +64,36 @@
   if (peerVersion >= version())
     return std::nullopt;
   ConfigurationUpdate update{peerVersion, {}, std::nullopt};
-  if (digestAt(peerVersion) == digest) {
-    const auto count = static_cast<std::ptrdiff_t>(version() - peerVersion);
-    std::ranges::copy(deltas.end() - count, deltas.end(),
-                      std::back_inserter(update.deltas));
-  } else {
-    update.snapshot.emplace(active->head(), active->text());
+  if (digest == active->head().digest) {
+    update.deltas.push_back({active->head(), TextDelta{}});
+    return update;
   }
+  const auto first = std::ranges::find_if(steps, [&](const Step &it) {
+    return it.fromVersion == peerVersion && it.fromDigest == digest;
+  });
+  if (first != steps.end())
+    std::ranges::transform(first, steps.end(),
+                           std::back_inserter(update.deltas), &Step::delta);
+  else
+    update.snapshot.emplace(active->head(), active->text());
   return update;
 }
 
-AdoptResult ConfigurationReplica::install(const ConfigurationHead &head,
-                                          std::string text) {
-  const auto built = builder(head, std::move(text));
-  if (!built)
-    return AdoptResult::Invalid;
-  const bool isNext = head.version == version() + 1;
-  if (!isNext)
-    deltas.clear();
-  if (isNext) {
-    if (deltas.empty())
-      baseDigest = active->head().digest;
-    deltas.push_back(
-        {head, TextDelta::between(active->text(), built.value()->text())});
-  }
-  if (deltas.size() > MaxDeltas) {
-    baseDigest = deltas.front().head.digest;
-    deltas.pop_front();
-  }
-  active = built.value();
-  return AdoptResult::Adopted;
+void ConfigurationReplica::install(const ConfigurationPtr &next) {
+  keep({version(),
+        active->head().digest,
+        {next->head(), TextDelta::between(active->text(), next->text())}});
+  active = next;
 }
 
-std::optional<std::string>
-ConfigurationReplica::digestAt(std::uint64_t soughtVersion) const {
-  if (deltas.empty())
-    return std::nullopt;
-  const std::uint64_t base = deltas.front().head.version - 1;
-  if (soughtVersion == base)
-    return baseDigest;
-  const auto it = std::ranges::find(
-      deltas, soughtVersion,
-      [](const ConfigurationDelta &entry) { return entry.head.version; });
-  return it == deltas.end() ? std::nullopt : std::optional(it->head.digest);
+void ConfigurationReplica::keep(Step step) {
+  stepBytes += step.delta.textDelta.insertedBytes();
+  steps.push_back(std::move(step));
+  while (!steps.empty() &&
+         (steps.size() > MaxDeltas || stepBytes > MaxDeltaBytes)) {
+    stepBytes -= steps.front().delta.textDelta.insertedBytes();
+    steps.pop_front();
+  }
 }
 
 } // namespace plantainhatch
--- a/src/process/ConfigurationReplica.h
+++ b/src/process/ConfigurationReplica.h
@@ -35,6 +35,9 @@
   template <typename Archive> void serialize(Archive &archive) {
     archive(fromVersion, deltas, snapshot);
   }
+
+  /** Bytes of text that the update carries. */
+  std::size_t textSize() const;
 };
 
 /** Result of offering a version. */
@@ -56,13 +59,22 @@
 public:
   /** Deltas kept for peers that lag behind. */
   static constexpr std::size_t MaxDeltas = 64;
+  /** Upper bound of the text in the deltas that are kept. */
+  static constexpr std::size_t MaxDeltaBytes = 64UL * 1024;
+
+  /** Parses a text and checks it against its head. May take what has not
+   * changed from \p previous, the active version. */
+  using Builder = std::function<Checked<ConfigurationPtr>(
+      ConfigurationHead, std::string, const Configuration &previous)>;
+
+  /** Configuration::build(), for the built-in rules language. */
+  static Checked<ConfigurationPtr>
+  buildRules(ConfigurationHead head, std::string text,
+             const Configuration & /*previous*/) {
+    return Configuration::build(std::move(head), std::move(text));
+  }
 
-  /** Parses a text and checks it against its head; Configuration::build for the
-   * built-in rules language. */
-  using Builder =
-      std::function<Checked<ConfigurationPtr>(ConfigurationHead, std::string)>;
-
-  explicit ConfigurationReplica(Builder builder = Configuration::build)
+  explicit ConfigurationReplica(Builder builder = buildRules)
       : builder(std::move(builder)), active(Configuration::makeEmpty()) {}
 
   /** The active configuration; never null. Version 0 without rules at first. */
@@ -72,25 +84,37 @@
   /** Activates a version given by its full text, if it is newer. */
   AdoptResult adopt(const ConfigurationHead &head, std::string text);
 
+  /** Activates a version that is built already, if it is newer. */
+  AdoptResult adopt(const ConfigurationPtr &built);
+
   /** Applies a peer's update, if it is newer. Stops at the first delta that
    * fails; the versions before it stay active. */
   AdoptResult adopt(const ConfigurationUpdate &update);
 
   /** The update for a peer at \p peerVersion with \p digest; nothing if that
-   * version is not older than the active one. */
+   * version is not older than the active one. Without text if the peer's text
+   * has the digest of the active one. */
   std::optional<ConfigurationUpdate> updateFor(std::uint64_t peerVersion,
                                                const std::string &digest) const;
 
 private:
+  /** What leads from one version that was active to the next one. */
+  struct Step {
+    std::uint64_t fromVersion = 0;
+    std::string fromDigest;
+    ConfigurationDelta delta;
+  };
+
   Builder builder;
   ConfigurationPtr active;
-  std::deque<ConfigurationDelta> deltas;
-  /** Digest of the text that the oldest kept delta applies to. */
-  std::string baseDigest;
-
-  AdoptResult install(const ConfigurationHead &head, std::string text);
-  /** Digest of a version, if the deltas from it to the active one are kept. */
-  std::optional<std::string> digestAt(std::uint64_t version) const;
+  /** In ascending order. The versions need not be consecutive. */
+  std::deque<Step> steps;
+  std::size_t stepBytes = 0;
+
+  /** The result for a version that is offered; Adopted if it is newer. */
+  AdoptResult compare(const ConfigurationHead &head) const;
+  void install(const ConfigurationPtr &next);
+  void keep(Step step);
 };
 
 } // namespace plantainhatch
--- a/src/version/Configuration.h
+++ b/src/version/Configuration.h
@@ -5,6 +5,7 @@
 
 #include "version/ConfigurationHead.h"
 #include "version/RuleParser.h"
+#include "version/RuleRecord.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -13,10 +14,23 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace plantainhatch {
 
+/** A service rule that all versions with the same record share. */
+class SharedServiceRule
+    : public boost::intrusive_ref_counter<SharedServiceRule> {
+public:
+  explicit SharedServiceRule(ServiceRule serviceRule)
+      : rule(std::move(serviceRule)) {}
+
+  const ServiceRule rule;
+};
+
+using ServiceRulePtr = boost::intrusive_ptr<const SharedServiceRule>;
+
 /** A parsed version of the configuration. Immutable and reference-counted: each
  * call holds a reference and so ends under the version that it started with.
  * The reference count and all const members are thread-safe. */
@@ -31,16 +45,27 @@
   /** Version 0, which has no rules. */
   static boost::intrusive_ptr<const Configuration> makeEmpty();
 
-  /** Builds a version from rules parsed from a format other than the rules
-   * file. \pre \p head has the digest of \p text. */
-  static boost::intrusive_ptr<const Configuration>
-  fromRules(ConfigurationHead head, std::string text, std::vector<Rule> rules,
-            std::vector<TargetTraits> traits);
+  /** Parses a text whose lines are records, see RuleRecord.h. Service rules
+   * whose lines \p previous has as well are taken from there instead of parsed;
+   * all are if both texts are sorted, as joinRecords() sorts them.
+   * \return as build(). */
+  static Checked<boost::intrusive_ptr<const Configuration>>
+  buildFromRecords(ConfigurationHead head, std::string text,
+                   const Configuration &previous);
+
+  /** As above for a text that was made in this process: a digest that \p head
+   * lacks is set, and one that it has is not checked. */
+  static Checked<boost::intrusive_ptr<const Configuration>>
+  makeFromRecords(ConfigurationHead head, std::string text,
+                  const Configuration &previous);
 
   const ConfigurationHead &head() const { return versionHead; }
   const std::string &text() const { return rulesText; }
-  /** Sorted by the length of the path prefix, longest first. */
-  const std::vector<ServiceRule> &services() const { return serviceRules; }
+  /** Number of service rules. */
+  std::size_t serviceCount() const { return serviceRules.size(); }
+  /** Records that were parsed for this version, as the previous one did not
+   * have them. */
+  std::size_t parsedRecordCount() const { return parsedRecords; }
   const MeasureRule &measure() const { return measureRule; }
   /** The failure domains taken out by a rule, by name. */
   const std::map<std::string, DomainRule> &domainsOut() const {
@@ -57,7 +82,9 @@
     return findService({}, path);
   }
 
-  /** As above, among the rules for \p host and those without a host. */
+  /** As above, among the rules for \p host and those without a host. Of two
+   * rules with the same prefix, the one with a host applies. The cost grows
+   * with the segments of \p path, not with the rules. */
   const ServiceRule *findService(std::string_view host,
                                  std::string_view path) const;
 
@@ -80,25 +107,49 @@
   }
 
 private:
+  /** One line of a text of records. */
+  struct Line {
+    /** In bytes, with the line break. */
+    std::size_t size = 0;
+    /** Null if the record is not a service rule. */
+    ServiceRulePtr service;
+  };
+
   ConfigurationHead versionHead;
   std::string rulesText;
-  std::vector<ServiceRule> serviceRules;
+  /** The lines of rulesText in order; empty if it is a rules file. */
+  std::vector<Line> lines;
+  std::vector<ServiceRulePtr> serviceRules;
+  /** The service rules by path prefix. The keys are views of the rules. */
+  std::unordered_multimap<std::string_view, const ServiceRule *> byPrefix;
+  std::size_t parsedRecords = 0;
   std::map<std::string, DomainRule> domainRules;
   std::map<std::string, VmRule> vmRules;
   MeasureRule measureRule;
   std::set<std::uint64_t> allowedRequests;
   std::map<std::string, TargetTraits> targetTraits;
 
-  void addRule(ServiceRule rule) { serviceRules.push_back(std::move(rule)); }
+  void addRule(ServiceRule rule) {
+    serviceRules.emplace_back(new SharedServiceRule(std::move(rule)));
+  }
   void addRule(DomainRule rule);
   void addRule(VmRule rule);
   void addRule(MeasureRule rule) { measureRule = std::move(rule); }
   void addRule(const AllowRule &rule) {
     allowedRequests.insert(rule.fingerprint);
   }
-  void sortServices();
+  void addRule(TargetTraits traits);
+  Findings addRecords(const Configuration &previous);
+  Findings addRecord(std::string_view line);
+  void indexServices();
+  const ServiceRule *findByPrefix(std::string_view host,
+                                  std::string_view prefix) const;
 };
 
+/** The lines in the order in which buildFromRecords() finds most of them in an
+ * earlier text, as one text. Pure. */
+std::string joinRecords(std::vector<std::string> lines);
+
 /** A shared, immutable version. */
 using ConfigurationPtr = boost::intrusive_ptr<const Configuration>;
 
--- /dev/null
+++ b/src/version/RuleRecord.cpp
@@ -0,0 +1,128 @@
+#include "version/RuleRecord.h"
+
+#include <boost/json.hpp>
+
+namespace plantainhatch {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view ServicePrefix = "service ";
+constexpr std::string_view TraitsPrefix = "traits ";
+
+json::array toJson(const ServiceRule &rule) {
+  json::array split;
+  for (const WeightedService &it : rule.trafficSplit)
+    split.push_back(json::array{it.service, it.weight});
+  return {rule.name,
+          rule.host,
+          rule.pathPrefix,
+          rule.isRetryable ? json::value(*rule.isRetryable) : json::value(),
+          rule.timeout.count(),
+          rule.attempts,
+          rule.priority,
+          std::move(split),
+          rule.origin.author};
+}
+
+json::array toJson(const DomainRule &rule) {
+  return {rule.name, rule.origin.author};
+}
+
+json::array toJson(const TargetTraits &traits) {
+  return {traits.service, traits.healthPath, traits.coldCallsPerSecond,
+          traits.connectionLimit};
+}
+
+std::string_view prefixOf(const RuleRecord &record) {
+  if (std::holds_alternative<ServiceRule>(record))
+    return ServicePrefix;
+  return std::holds_alternative<DomainRule>(record) ? DomainRecordPrefix
+                                                    : TraitsPrefix;
+}
+
+/** Takes the elements of an array one after the other. Throws what Boost.JSON
+ * does if there are too few, or one is of another type. */
+class FieldReader {
+public:
+  explicit FieldReader(const json::value &fields) : fields(fields.as_array()) {}
+
+  const json::value &next() { return fields.at(n++); }
+  std::string text() { return std::string(next().as_string()); }
+  template <std::integral T> T integer() { return next().to_number<T>(); }
+
+private:
+  const json::array &fields;
+  std::size_t n = 0;
+};
+
+ServiceRule readService(const json::value &fields) {
+  FieldReader reader(fields);
+  ServiceRule rule;
+  rule.name = reader.text();
+  rule.host = reader.text();
+  rule.pathPrefix = reader.text();
+  if (const json::value &isRetryable = reader.next(); !isRetryable.is_null())
+    rule.isRetryable = isRetryable.as_bool();
+  rule.timeout = std::chrono::milliseconds(reader.integer<std::int64_t>());
+  rule.attempts = reader.integer<unsigned>();
+  rule.priority = reader.integer<unsigned>();
+  for (const json::value &it : reader.next().as_array()) {
+    FieldReader part(it);
+    std::string service = part.text();
+    rule.trafficSplit.push_back({std::move(service), part.integer<unsigned>()});
+  }
+  rule.origin.author = reader.text();
+  return rule;
+}
+
+DomainRule readDomain(const json::value &fields) {
+  FieldReader reader(fields);
+  DomainRule rule;
+  rule.name = reader.text();
+  rule.origin.author = reader.text();
+  return rule;
+}
+
+TargetTraits readTraits(const json::value &fields) {
+  FieldReader reader(fields);
+  TargetTraits traits;
+  traits.service = reader.text();
+  traits.healthPath = reader.text();
+  traits.coldCallsPerSecond = reader.next().to_number<double>();
+  traits.connectionLimit = reader.integer<unsigned>();
+  return traits;
+}
+
+} // namespace
+
+std::string encodeRecord(const RuleRecord &record) {
+  const json::array fields =
+      std::visit([](const auto &it) { return toJson(it); }, record);
+  return std::string(prefixOf(record)) + json::serialize(fields) + "\n";
+}
+
+Checked<RuleRecord> decodeRecord(std::string_view line) {
+  const auto isOf = [&](std::string_view prefix) {
+    return line.starts_with(prefix);
+  };
+  json::monotonic_resource memory;
+  const auto parse = [&](std::string_view prefix) {
+    return json::parse(line.substr(prefix.size()), &memory);
+  };
+  try {
+    if (isOf(ServicePrefix))
+      return readService(parse(ServicePrefix));
+    if (isOf(DomainRecordPrefix))
+      return readDomain(parse(DomainRecordPrefix));
+    if (isOf(TraitsPrefix))
+      return readTraits(parse(TraitsPrefix));
+  } catch (const std::exception &error) {
+    return Findings{{"record", 0, 0, {}, error.what()}};
+  }
+  return Findings{
+      {"record", 0, 0, {}, "starts neither with service, domain nor traits"}};
+}
+
+} // namespace plantainhatch
--- a/src/version/TextDelta.h
+++ b/src/version/TextDelta.h
@@ -7,18 +7,28 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace plantainhatch {
 
-/** A single replaced range of bytes. Operators mostly change one line at a
- * time, for which one range is as compact as a full diff. */
+/** Edits of a text from its start to its end. Edits are of whole lines, and
+ * few where both texts are sorted or one line has changed; the delta of other
+ * texts may hold most of the new one. */
 struct TextDelta {
-  /** Bytes kept from the start of the old text. */
-  std::uint32_t prefix = 0;
-  /** Bytes kept from the end of the old text. */
-  std::uint32_t suffix = 0;
-  /** The bytes between prefix and suffix in the new text. */
-  std::string replacement;
+  /** Keeps some bytes of the old text, skips some, and inserts others. */
+  struct Edit {
+    std::uint32_t kept = 0;
+    std::uint32_t skipped = 0;
+    std::string inserted;
+
+    /** Serialization hook. */
+    template <typename Archive> void serialize(Archive &archive) {
+      archive(kept, skipped, inserted);
+    }
+  };
+
+  /** What follows the last edit in the old text is kept. */
+  std::vector<Edit> edits;
 
   /** Computes the delta that turns \p from into \p to. Pure. */
   static TextDelta between(std::string_view from, std::string_view to);
@@ -29,9 +39,12 @@
    * that is long enough is accepted. */
   std::optional<std::string> apply(std::string_view from) const;
 
+  /** Bytes of text that the delta holds. */
+  std::size_t insertedBytes() const;
+
   /** Serialization hook. */
   template <typename Archive> void serialize(Archive &archive) {
-    archive(prefix, suffix, replacement);
+    archive(edits);
   }
 };
 
--- a/test/correctness/ConfigurationTest.cpp
+++ b/test/correctness/ConfigurationTest.cpp
@@ -66,7 +66,7 @@
   const auto makeText = [&random] {
     std::string text;
     for (auto n = random() % 40; n > 0; --n)
-      text += static_cast<char>('a' + random() % 3);
+      text += "ab\n"[random() % 3];
     return text;
   };
   for (int n = 0; n < 2000; ++n) {
@@ -82,7 +82,26 @@
     text += "service s" + std::to_string(n) + " path /p" + std::to_string(n) +
             "  # T\n";
   const std::string out = text + "domain sierra-a out  # Night shift\n";
-  CHECK(TextDelta::between(text, out).replacement.size() < 64);
+  CHECK(TextDelta::between(text, out).insertedBytes() < 64);
+}
+
+// Guards against a delta that spans all that lies between two changed lines.
+TEST(Configuration, DeltaOfLinesFarApartIsSmallInASortedText) {
+  std::string from;
+  std::string to;
+  for (unsigned n = 1'000; n < 4'000; ++n) {
+    const std::string line = "service s" + std::to_string(n);
+    from += line + " timeout 1s\n";
+    if (n != 2'000)
+      to +=
+          line + (n == 1'002 || n == 3'990 ? " timeout 2s\n" : " timeout 1s\n");
+    if (n == 3'000)
+      to += line + "a timeout 1s\n";
+  }
+  const TextDelta delta = TextDelta::between(from, to);
+  CHECK(delta.apply(from) == to);
+  CHECK(delta.insertedBytes() < 128);
+  CHECK(TextDelta::between(to, from).apply(to) == from);
 }
 
 TEST(Configuration, OlderVersionIsNeverTakenWhoeverOffersIt) {
@@ -179,7 +198,7 @@
     ahead.adopt(headFor(n, textWith(n)), textWith(n));
   behind.adopt(headFor(1, textWith(1)), textWith(1));
   auto update = *ahead.updateFor(1, digestOf(textWith(1)));
-  update.deltas[1].textDelta.replacement += "damage";
+  update.deltas[1].textDelta.edits.front().inserted += "damage";
   CHECK(behind.adopt(update) == AdoptResult::Invalid);
   CHECK_EQUAL(2, behind.version());
 }
--- a/test/platform/AdapterTest.cpp
+++ b/test/platform/AdapterTest.cpp
@@ -4,6 +4,7 @@
 #include "platform/HeartbeatFilter.h"
 #include "platform/decodeConfiguration.h"
 #include "platform/parseHeartbeat.h"
+#include "version/TextDelta.h"
 
 #include <nlohmann/json.hpp>
 
@@ -63,10 +64,18 @@
           {"limits", json::object()}};
 }
 
+Checked<ConfigurationPtr> build(std::uint64_t version,
+                                Checked<std::string> text,
+                                const Configuration &previous) {
+  if (!text)
+    return std::move(text).error();
+  return Configuration::makeFromRecords(
+      platform::makeConfigurationHead(version), std::move(text).value(),
+      previous);
+}
+
 Checked<ConfigurationPtr> decode(const platform::OperatorRows &rows) {
-  const std::string text = platform::encodeRows(rows);
-  return platform::decodeConfiguration(platform::makeConfigurationHead(5, text),
-                                       text);
+  return build(5, platform::encodeRows(rows), *Configuration::makeEmpty());
 }
 
 platform::Heartbeat beat(const std::string &name, std::int64_t startedAtMs,
@@ -308,9 +317,7 @@
 TEST(OperatorRows, DeeplyNestedFieldsDoNotEndTheProcess) {
   const std::string deep = nested();
   const auto read = [](const std::string &document) {
-    const std::string text = platform::encodeRows({{"config", document}});
-    return platform::decodeConfiguration(
-        platform::makeConfigurationHead(1, text), text);
+    return decode({{"config", document}});
   };
   CHECK_FALSE(read(deep).has_value());
   CHECK_FALSE(read(R"({"routes":)" + deep + R"(,"services":{}})").has_value());
@@ -325,7 +332,64 @@
 TEST(OperatorRows, UnreadableRowsNameNothing) {
   CHECK(!decode({{"config", "{"}}).has_value());
   CHECK(!decode({{"evacuate/zone-1", "{}"}}).has_value());
-  const std::string text = platform::encodeRows(rows);
-  auto head = platform::makeConfigurationHead(5, text);
-  CHECK(!platform::decodeConfiguration(head, text + " ").has_value());
+  const auto read = decode(rows).value();
+  CHECK(!Configuration::buildFromRecords(read->head(), read->text() + " ",
+                                         *Configuration::makeEmpty())
+             .has_value());
+  CHECK(!Configuration::buildFromRecords(read->head(), read->text() + "x\n",
+                                         *Configuration::makeEmpty())
+             .has_value());
+}
+
+// Guards against a change of one route that costs as much as the whole table.
+TEST(OperatorRows, ChangeOfOneRouteParsesNoOther) {
+  json document = goodDocument();
+  for (unsigned n = 0; n < 2'800; ++n) {
+    json route = document["routes"]["r1"];
+    route["prefix"] = "/many-" + std::to_string(n) + "/";
+    document["routes"]["many-" + std::to_string(n)] = route;
+  }
+  rows["config"] = document.dump();
+  const auto before = decode(rows).value();
+  CHECK_EQUAL(2'802, before->serviceCount());
+  document["routes"]["many-700"]["timeout_ms"] = 700;
+  document["version"] = 8;
+  const auto after =
+      build(6, platform::encodeChanges(*before, {{"config", document.dump()}}),
+            *before);
+  CHECK(after.has_value());
+  const ServiceRule *const changed =
+      after.value()->findService("h.example", "/many-700/x");
+  LONGS_EQUAL(700, changed->timeout.count());
+  LONGS_EQUAL(
+      1'200,
+      after.value()->findService("h.example", "/many-701/x")->timeout.count());
+  // The route, and the traits of the one service.
+  CHECK_EQUAL(2, after.value()->parsedRecordCount());
+  CHECK(TextDelta::between(before->text(), after.value()->text())
+            .insertedBytes() < 256);
+}
+
+// Guards against rows that change the same table in different ways at the node
+// that reads them all and at the one that hears of the changes.
+TEST(OperatorRows, ChangesGiveTheSameTextAsAllRows) {
+  const auto before = decode(rows).value();
+  json document = goodDocument();
+  document["routes"].erase("r2");
+  const platform::OperatorRowChanges changes{{"config", document.dump()},
+                                             {"evacuate/zone-1", "{}"}};
+  const auto after =
+      build(6, platform::encodeChanges(*before, changes), *before).value();
+  STRCMP_EQUAL(decode({{"config", document.dump()}, {"evacuate/zone-1", "{}"}})
+                   .value()
+                   ->text()
+                   .c_str(),
+               after->text().c_str());
+  const auto back =
+      build(7, platform::encodeChanges(*after, {{"evacuate/zone-1", {}}}),
+            *after)
+          .value();
+  CHECK(back->findDomainOut("zone-1") == nullptr);
+  CHECK_EQUAL(1, back->serviceCount());
+  STRCMP_EQUAL("s", back->findTraits("s")->service.c_str());
 }
