--- a/test/correctness/ConfigurationTest.cpp
+++ b/test/correctness/ConfigurationTest.cpp
@@ -39,6 +39,57 @@
   CHECK(build("service a path /a  # T\n")->findService("/ab") == nullptr);
 }
 
+TEST(Configuration, RuleWithTheHostOfACallComesBeforeOneWithoutAHost) {
+  ServiceRule any;
+  any.name = "any";
+  any.pathPrefix = "/a/";
+  ServiceRule own = any;
+  own.name = "own";
+  own.host = "h.example";
+  const std::string text = joinRecords({encodeRecord(any), encodeRecord(own)});
+  const auto it = Configuration::buildFromRecords(headFor(1, text), text,
+                                                  *Configuration::makeEmpty())
+                      .value();
+  STRCMP_EQUAL("own", it->findService("h.example", "/a/b")->name.c_str());
+  STRCMP_EQUAL("any", it->findService("other.example", "/a/b")->name.c_str());
+  CHECK(it->findService("h.example", "/a") == nullptr);
+}
+
+// Guards against a version that shares rules with one whose lines differ.
+TEST(Configuration, RulesAreSharedForEqualLinesOnly) {
+  std::mt19937_64 random(21);
+  ConfigurationPtr previous = Configuration::makeEmpty();
+  for (std::uint64_t version = 1; version < 200; ++version) {
+    std::vector<std::string> lines;
+    for (unsigned n = 0; n < 12; ++n) {
+      if (random() % 4 == 0)
+        continue;
+      ServiceRule rule;
+      rule.name = "s" + std::to_string(n);
+      rule.pathPrefix = "/" + std::to_string(n) + "/";
+      rule.timeout = std::chrono::milliseconds(1 + random() % 3);
+      lines.push_back(encodeRecord(rule));
+    }
+    const std::string text = joinRecords(std::move(lines));
+    const auto next =
+        Configuration::buildFromRecords(headFor(version, text), text, *previous)
+            .value();
+    const auto alone =
+        Configuration::buildFromRecords(headFor(version, text), text,
+                                        *Configuration::makeEmpty())
+            .value();
+    CHECK_EQUAL(alone->serviceCount(), next->serviceCount());
+    for (unsigned n = 0; n < 12; ++n) {
+      const std::string path = "/" + std::to_string(n) + "/x";
+      const ServiceRule *const rule = next->findService("h", path);
+      const ServiceRule *const same = alone->findService("h", path);
+      CHECK_EQUAL(same == nullptr, rule == nullptr);
+      CHECK(rule == nullptr || rule->timeout == same->timeout);
+    }
+    previous = next;
+  }
+}
+
 TEST(Configuration, VmIsFoundByNumberAndByNumberWithPort) {
   const auto it = build("vm 10.0.0.7 out # T\nvm 10.0.0.8:81 out # T\n");
   CHECK(it->findVmOut({"10.0.0.7", 5}) != nullptr);
