Let a node that does not reach some of the others wait at the store itself

A node whose latest probes have failed is in doubt, and waits at the store until they succeed. NodesThatReachOnlyAFewAreInDoubtWithinTwoProbes needs the new function; it is a guard of the decision, not of the whole path.

--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -242,7 +242,7 @@
 }
 
 bool ConfigurationTask::mustFollowSource(std::size_t readers) const {
-  return replica.version() == 0 ||
+  return replica.version() == 0 || peers.membership().isInDoubt() ||
          peers.membership().isIsolated(NodeServices::now()) ||
          isSelectedFor(peers.membership(), "follow-source", readers);
 }
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -88,8 +88,8 @@
   void onBuilt(const ConfigurationPtr &built, const std::string &source);
   /** True if this node should wait at the external source for changes, which
    * are large, so that few nodes do: \p readers of each failure domain, and
-   * those that hear from no other node or have no version yet. The others hear
-   * of changes from them. */
+   * those that have no version yet or do not reach some of the others. The rest
+   * hear of changes from them. */
   bool mustFollowSource(std::size_t readers) const;
   /** Returns the update that a peer needs, if any. The reply is another one if
    * this node cannot tell whether the peer needs one. */
--- a/src/process/Membership.h
+++ b/src/process/Membership.h
@@ -115,6 +115,9 @@
   /** True if no other member is present, or no message was received for two
    * probe intervals. */
   bool isIsolated(TimePoint now) const;
+  /** True if the latest probes of this node have failed, so that it may be cut
+   * off from a part of the fleet, or slow. */
+  bool isInDoubt() const { return localHealthScore > 0; }
   /** True if, since the last call, tick() has detected that this process was
    * suspended. Resets the flag. */
   bool takePauseDetected() { return std::exchange(pauseDetected, false); }
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -167,3 +167,28 @@
       [&] { return wire.member(30).find(wire.address(7))->generation == 100; },
       seconds(10)));
 }
+
+// Guards against a group of nodes that is cut off from the rest, whose members
+// hear from one another and hold themselves for connected.
+TEST(Membership, NodesThatReachOnlyAFewAreInDoubtWithinTwoProbes) {
+  MembershipWire wire(20);
+  CHECK(wire.runUntil([&] { return wire.doAllSee(20); }, seconds(30)));
+  wire.run(seconds(5));
+  for (std::size_t n = 0; n < 3; ++n)
+    CHECK_FALSE(wire.member(n).isInDoubt());
+  wire.isCut = [](std::size_t from, std::size_t to) {
+    return (from < 3) != (to < 3);
+  };
+  const auto areInDoubt = [&] {
+    return wire.member(0).isInDoubt() && wire.member(1).isInDoubt() &&
+           wire.member(2).isInDoubt();
+  };
+  CHECK(wire.runUntil(areInDoubt, 3 * Membership::ProbeInterval));
+  wire.isCut = nullptr;
+  CHECK(wire.runUntil(
+      [&] {
+        return !wire.member(0).isInDoubt() && !wire.member(1).isInDoubt() &&
+               !wire.member(2).isInDoubt();
+      },
+      seconds(30)));
+}
