--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -36,8 +36,9 @@
    * answers, as the links between nodes are slower than those to the source. */
   static constexpr std::size_t MaxUpdateBytes = 32UL * 1024;
   /** Least time between two requests to the external source for updates that
-   * peers have found too long. */
-  static constexpr std::chrono::milliseconds LongUpdateInterval{500};
+   * peers have found too long. On a slow link, an earlier one may take as long.
+   */
+  static constexpr std::chrono::milliseconds LongUpdateInterval{1'500};
 
   /** Called with the configuration that was in force before the adoption. */
   using AdoptedListener = std::function<void(const ConfigurationPtr &before)>;
@@ -59,7 +60,7 @@
   void onPeerVersion(const Address &peer, std::uint64_t version);
   /** Another source of versions than the head row. */
   struct ExternalSource {
-    /** Reads all anew after a pause of this process. */
+    /** Asks for the changes that a pause of this process may have missed. */
     std::function<void()> refresh;
     /** Asks for the newest version, which must lead to onConfirmed() or
      * onNotConfirmed(). Returns false if it cannot ask. */
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -38,6 +38,8 @@
   return node;
 }
 
+Node::~Node() { TurnMonitor::instance().setListener(nullptr); }
+
 void Node::startTasks() {
   seeds->start();
   if (services.settings.site)
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -49,6 +49,12 @@
                                               AnyPickPolicy policy,
                                               PlatformBindings bindings = {});
 
+  ~Node();
+  Node(const Node &) = delete;
+  Node &operator=(const Node &) = delete;
+  Node(Node &&) = delete;
+  Node &operator=(Node &&) = delete;
+
   /** True if the node accepts callers: a configuration version is in force and
    * stop() has not been called. */
   bool isReady() const;
