--- a/src/connection/Exchange.h
+++ b/src/connection/Exchange.h
@@ -70,6 +70,9 @@
   static constexpr std::size_t MaxDiscarded = 256UL * 1024;
   /** What is read ahead of the reader of the body. */
   static constexpr std::size_t MaxReadAhead = 64UL * 1024;
+  /** A request without a byte of an answer for this long shows, once it is given
+   * up, that its connection may have fallen silent. */
+  static constexpr std::chrono::milliseconds SilenceLimit{250};
   /** What is read in one turn of the main loop, so that others have theirs. */
   static constexpr std::size_t MaxReadPerTurn = 256UL * 1024;
 
--- a/src/node/StatusTask.cpp
+++ b/src/node/StatusTask.cpp
@@ -166,6 +166,9 @@
   services.metrics.set("gate_in_flight", state.inFlight());
   services.metrics.set("gate_limit", state.limit());
   services.metrics.set("gate_queued", static_cast<double>(state.queued()));
+  services.metrics.set(
+      "calls_outstanding",
+      static_cast<double>(measure.loadTable().outstanding()));
   services.metrics.set(
       "platform_requests",
       static_cast<double>(services.storeClient.requestCount()));
--- a/src/process/LoadTable.cpp
+++ b/src/process/LoadTable.cpp
@@ -1,6 +1,8 @@
 #include "process/LoadTable.h"
 
 #include <algorithm>
+#include <numeric>
+#include <ranges>
 
 namespace plantainhatch {
 
@@ -59,6 +61,13 @@
   return result;
 }
 
+std::size_t LoadTable::outstanding() const {
+  const auto counts =
+      entries | std::views::values | std::views::transform(&Entry::outstanding) |
+      std::views::common;
+  return std::accumulate(counts.begin(), counts.end(), std::size_t{0});
+}
+
 void LoadTable::expire(TimePoint now) {
   std::erase_if(entries, [&](const auto &item) {
     return item.second.outstanding == 0 &&
--- a/src/process/LoadTable.h
+++ b/src/process/LoadTable.h
@@ -64,6 +64,8 @@
    * EntryLifetime. */
   void expire(TimePoint now);
   std::size_t size() const { return entries.size(); }
+  /** Calls sent by this node that have not ended, to all targets. */
+  std::size_t outstanding() const;
 
 private:
   struct Entry {
--- a/src/request/RetryBudget.h
+++ b/src/request/RetryBudget.h
@@ -26,7 +26,8 @@
    * services too; half of the budget is reserved for those. Pure.
    * \pre \p nodes is at most half of \p extra. As every node gets a capacity of
    * at least one token, the shares of more nodes use up part of the reserve. */
-  static RetryShare forNode(double ratio, double extra, std::size_t nodes) {
+  static RetryShare forNode(double ratio, double extra, std::size_t nodes,
+                            double /*position*/ = 0) {
     constexpr double Reserved = 0.5;
     const auto shares = static_cast<double>(std::max<std::size_t>(nodes, 1));
     return {ratio * Reserved, std::max(1.0, extra * Reserved / shares)};
--- a/test/correctness/CallDecisionTest.cpp
+++ b/test/correctness/CallDecisionTest.cpp
@@ -70,6 +70,17 @@
   CHECK(isAnswer(call.onFailed(Second, true, Start), 502, Outcome::Unknown));
 }
 
+// Guards against a request that may crash targets and reaches a third one, as a
+// failure without a crash came after the crash.
+TEST(CallDecision, CallAtADeathAndAFailureIsNotTriedOnAThird) {
+  CallDecision call(true, Deadline, budget);
+  call.start();
+  call.onForwarded(First);
+  CHECK(isForward(call.onFailed(First, true, Start)));
+  call.onForwarded(Second);
+  CHECK(isAnswer(call.onFailed(Second, false, Start), 502, Outcome::Unknown));
+}
+
 TEST(CallDecision, EmptyBudgetEndsRetries) {
   while (budget.trySpend(Start))
     ;
--- a/test/correctness/GateTest.cpp
+++ b/test/correctness/GateTest.cpp
@@ -133,6 +133,15 @@
   CHECK(gate.takeCut() == LimitCut::Failure);
 }
 
+TEST(Gate, FailureThatCutsNothingIsNotReported) {
+  GateLimit limit;
+  limit.start(4, 4);
+  CHECK(limit.takeCut() == LimitCut::NewStart);
+  limit.onFailed();
+  CHECK(limit.takeCut() == LimitCut::None);
+  CHECK_EQUAL(4, limit.limit());
+}
+
 TEST(Gate, LatencyStepCutsTheLimitAndItStaysUntilLatencyRecovers) {
   gate.announce(makeTarget("a"));
   warmUp(gate, milliseconds(5), next, now);
--- a/test/correctness/LoadShiftTest.cpp
+++ b/test/correctness/LoadShiftTest.cpp
@@ -9,6 +9,7 @@
 #include "request/WeightedRoundRobin.h"
 
 #include <array>
+#include <cmath>
 #include <deque>
 #include <map>
 
@@ -211,6 +212,45 @@
   }
 }
 
+// Guards against a fleet in which each node may repeat one call at any moment,
+// which together is more than the fleet may repeat.
+TEST(LoadShift, SharesOfAFleetThatIsLargerThanItsBudgetSumToNoMore) {
+  constexpr double Ratio = 0.2;
+  constexpr double Extra = 56;
+  constexpr unsigned Calls = 50;
+  for (const unsigned nodes : {57U, 200U, 2'000U}) {
+    unsigned repeats = 0;
+    for (unsigned node = 0; node < nodes; ++node) {
+      const double position = static_cast<double>(node) / nodes;
+      RetryBudget budget;
+      budget.setShare(RetryShare::forNode(Ratio, Extra, nodes, position));
+      // A long time without failures fills the bucket; what it holds then is
+      // spent in a window of few calls.
+      for (unsigned n = 0; n < Calls; ++n)
+        budget.onCall();
+      while (budget.trySpend(Start))
+        ++repeats;
+    }
+    CHECK(repeats <= Extra);
+    CHECK(repeats > 0);
+  }
+}
+
+// A cold target that bears less than one call a second still gets calls, each
+// long enough after the one before.
+TEST(LoadShift, AllowanceBelowOneCallASecondHoldsOverLongerSpans) {
+  for (const double allowed : {0.1, 0.25, 0.5, 0.9, 1.0, 1.9}) {
+    const ColdRateLimit limit =
+        ColdRateLimit::forAnnouncedRate(allowed, 1.0, 0.0);
+    for (unsigned seconds = 1; seconds <= 100; ++seconds) {
+      const double most = limit.burst + limit.callsPerSecond * seconds;
+      const bool isLongEnough = seconds * allowed >= 2;
+      CHECK(!isLongEnough || std::floor(most) <= seconds * allowed);
+    }
+    CHECK(limit.callsPerSecond > 0);
+  }
+}
+
 TEST(LoadShift, ColdTargetGetsItsQueueAsTheRateAllows) {
   gate.announce(makeWarmTarget(12));
   gate.setColdRateLimit({10, 2}, Start + seconds(10));
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -192,3 +192,32 @@
       },
       seconds(30)));
 }
+
+// Guards against a dead member that is not found again, as the draws among the
+// absent mostly meet members that have left.
+TEST(Membership, DeadMemberIsProbedThoughManyHaveLeft) {
+  constexpr std::size_t LeftCount = 50;
+  constexpr unsigned Intervals = 4;
+  const TimePoint start = TimePoint(std::chrono::hours(1));
+  const auto makeRecord = [](std::uint16_t port, Liveness liveness) {
+    Member member;
+    member.peersAddress = {"127.0.0.1", port};
+    member.liveness = liveness;
+    return member;
+  };
+  Membership membership(makeRecord(1, Liveness::Alive), 1);
+  std::vector<Member> records{makeRecord(2, Liveness::Dead)};
+  for (std::size_t n = 0; n < LeftCount; ++n)
+    records.push_back(
+        makeRecord(static_cast<std::uint16_t>(3 + n), Liveness::Left));
+  membership.merge(records, false, start);
+  unsigned probes = 0;
+  for (unsigned n = 1; n <= Intervals; ++n) {
+    const auto out = membership.tick(start + n * Membership::DeadProbeInterval);
+    probes += static_cast<unsigned>(
+        std::ranges::count_if(out, [](const OutgoingMessage &it) {
+          return std::holds_alternative<Ping>(it.body);
+        }));
+  }
+  CHECK_EQUAL(Intervals, probes);
+}
--- a/test/correctness/ProcessStateTest.cpp
+++ b/test/correctness/ProcessStateTest.cpp
@@ -74,6 +74,30 @@
   CHECK(quarantine.list(later).empty());
 }
 
+// Guards against a report that is sent again until all have acknowledged it, and
+// each time begins the quarantine anew.
+TEST(ProcessState, CrashReportThatIsSentAgainProlongsNothing) {
+  Quarantine quarantine;
+  quarantine.onCrash(FirstCrash, {7}, Start);
+  quarantine.onCrash(SecondCrash, {7}, Start);
+  const auto later = Start + Quarantine::Lifetime;
+  quarantine.onCrash(SecondCrash, {7}, later - seconds(1));
+  CHECK_FALSE(quarantine.isQuarantined(7, later));
+}
+
+// Guards against a request that was answered in full and is suspected of the
+// same crashes again.
+TEST(ProcessState, CrashReportThatIsSentAgainAfterAnAnswerSuspectsNobody) {
+  Quarantine quarantine;
+  quarantine.onCrash(FirstCrash, {7}, Start);
+  CHECK(quarantine.onCompleted(7, Start + seconds(1)));
+  quarantine.onCrash(FirstCrash, {7}, Start + seconds(2));
+  CHECK(quarantine.list(Start + seconds(2)).empty());
+  quarantine.onCrash(SecondCrash, {7}, Start + seconds(3));
+  CHECK_FALSE(quarantine.isQuarantined(7, Start + seconds(3)));
+  CHECK_EQUAL(1, quarantine.list(Start + seconds(3)).size());
+}
+
 TEST(ProcessState, MeasuringNeverExceedsItsBudget) {
   MeasureBudget budget;
   MeasureRule rule;
@@ -195,6 +219,14 @@
   CHECK(histogram.quantile(0.99) >= milliseconds(990));
 }
 
+TEST(ProcessState, LatencyBeyondTheLastBinIsInOneBucketOnly) {
+  Metrics metrics;
+  metrics.latency("call_seconds").record(std::chrono::hours(1));
+  const std::string text = metrics.print();
+  CHECK(text.find("le=\"inf\"") == std::string::npos);
+  CHECK(text.find("le=\"+Inf\"} 1\n") != std::string::npos);
+}
+
 TEST(ProcessState, LatencyWindowForgetsOldSamples) {
   LatencyWindow window;
   CHECK_FALSE(window.p95().has_value());
--- a/test/error/HttpMessageFaultsTest.cpp
+++ b/test/error/HttpMessageFaultsTest.cpp
@@ -1,6 +1,7 @@
 /** \file
  * What is taken for a message, and what is not. */
 #include "connection/HttpMessageReader.h"
+#include "request/CallRequest.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -128,3 +129,17 @@
   answer.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
   CHECK(answer.state() == State::Complete);
 }
+
+// Guards against a header that concerns one connection only and is passed on, as
+// it is named in a second Connection header.
+TEST(HttpMessageFaults, NamesInEachConnectionHeaderAreNotPassedOn) {
+  HeaderList list{{"Connection", "close, X-First"},
+                  {"X-First", "1"},
+                  {"connection", "x-second ,x-third"},
+                  {"X-Second", "2"},
+                  {"X-Third", "3"},
+                  {"X-Kept", "4"}};
+  removeHopByHopHeaders(list);
+  CHECK_EQUAL(1, list.size());
+  STRCMP_EQUAL("X-Kept", list.front().first.c_str());
+}
--- a/test/platform/AdapterTest.cpp
+++ b/test/platform/AdapterTest.cpp
@@ -298,7 +298,11 @@
       {"/routes/r1/attempts", "two"},
       {"/routes/r2/traffic_split", json::array()},
       {"/services/s/health_check_path", nullptr},
-      {"/routes", json::array()}};
+      {"/routes", json::array()},
+      {"/routes/r1/host", ""},
+      {"/routes/r1/prefix", ""},
+      {"/routes/r1/service", ""},
+      {"/services/s/health_check_path", ""}};
   for (const auto &[path, value] : faults) {
     json document = goodDocument();
     document[json::json_pointer(path)] = value;
--- a/test/platform/SiteFixture.cpp
+++ b/test/platform/SiteFixture.cpp
@@ -97,7 +97,8 @@
                 {{"X-Plantainhatch-Instance-Id", targetName},
                  {"X-Plantainhatch-Cold-Milliseconds",
                   std::to_string(coldLeft().count())},
-                 {"X-Plantainhatch-Server-Load", "0,0,9,100"}},
+                 {"X-Plantainhatch-Server-Load",
+                  "0,0,9," + std::to_string(slowdownPercent)}},
                 "");
     return;
   }
@@ -149,14 +150,20 @@
   case Manner::Fail:
     call->reply(500, signedHeaders, "failed");
     break;
-  case Manner::BreakOff: {
+  case Manner::BreakOff:
+  case Manner::Stall: {
     AnswerHead head;
     head.status = 200;
     head.headers = signedHeaders;
     head.contentLength = 100;
     call->startStream(head);
     const GBytesPtr half(g_bytes_new("half", 4));
-    call->writeChunk(half.get(), [call] { call->abort(); });
+    if (manner == Manner::Stall)
+      held.push_back(call);
+    call->writeChunk(half.get(), [call, isCut = manner == Manner::BreakOff] {
+      if (isCut)
+        call->abort();
+    });
     break;
   }
   default:
@@ -292,10 +299,11 @@
 }
 
 void SiteFixture::startNode(std::size_t n) {
+  machines[n]->logFile = files.write("node-" + std::to_string(n) + ".log", "");
   machines[n]->node = std::make_unique<ChildProcess>(
       std::vector<std::string>{binFolder() + "/plantainhatchd", "--settings",
                                machines[n]->settingsFile},
-      files.write("node-" + std::to_string(n) + ".log", ""));
+      machines[n]->logFile);
 }
 
 void SiteFixture::writeRowOf(const std::string &table, const std::string &key,
--- a/test/platform/SiteFixture.h
+++ b/test/platform/SiteFixture.h
@@ -32,6 +32,8 @@
     Unsigned,
     /** Half of the body, then a reset. */
     BreakOff,
+    /** Half of the body, then nothing. */
+    Stall,
     Shed,
     /** Not until release(). */
     Hold
@@ -42,6 +44,8 @@
   void setManner(Manner newManner) { manner = newManner; }
   /** How long a call takes before it is answered. */
   void setServiceTime(Duration time) { serviceTime = time; }
+  /** How long work takes there, as it reports; 100 is as usual. */
+  void setSlowdown(unsigned percent) { slowdownPercent = percent; }
   /** Called when a request is begun, with its identifier. */
   void onRun(std::function<void(const std::string &)> action) {
     runAction = std::move(action);
@@ -83,6 +87,7 @@
   unsigned births = 1;
   TimePoint coldUntil;
   Duration serviceTime{};
+  unsigned slowdownPercent = 100;
   std::function<void(const std::string &)> runAction;
   /** Calls at work; they end with the target. */
   std::list<std::unique_ptr<Timer>> work;
@@ -113,6 +118,7 @@
   std::unique_ptr<FaultyLink> storeLink;
   std::string failureDomain;
   std::string settingsFile;
+  std::string logFile;
   std::unique_ptr<SiteTarget> target;
   std::unique_ptr<ChildProcess> node;
 };
--- a/test/platform/SitePathTest.cpp
+++ b/test/platform/SitePathTest.cpp
@@ -9,8 +9,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
 #include <atomic>
 #include <csignal>
+#include <fstream>
 
 using namespace plantainhatch;
 using namespace plantainhatch::test;
@@ -460,3 +462,78 @@
   site.machines[0]->node->signal(SIGHUP);
   CHECK_EQUAL(200, site.call(0, "GET", "/read/x", "after-hup").status);
 }
+
+// Guards against a target that gets fewer calls for ever, as answers that once
+// stalled there still count as outstanding.
+TEST(SitePath, AnswersThatStallAreNotOutstandingAfterwards) {
+  CHECK(site.start());
+  setAll(Manner::Stall);
+  for (unsigned n = 0; n < 4; ++n)
+    CHECK_EQUAL(504, site.call(0, "GET", "/read/x",
+                               "stall-" + std::to_string(n), milliseconds(300))
+                         .status);
+  const auto answer =
+      site.http.get(site.machines[0]->metrics, "/plantainhatch/v1/metrics");
+  CHECK(answer.body.find("\nplantainhatch_calls_outstanding 0\n") !=
+        std::string::npos);
+}
+
+// Guards against a line that blames the load of one target for the failure of a
+// call at another.
+TEST(SitePath, LineOfAFailedAttemptHasTheLoadOfItsOwnTarget) {
+  CHECK(site.start());
+  // Hedging begins when the usual latency is known.
+  for (unsigned n = 0; n < 40; ++n)
+    CHECK_EQUAL(
+        200,
+        site.call(0, "GET", "/read/x", "usual-" + std::to_string(n)).status);
+  site.machines[1]->target->setSlowdown(300);
+  site.machines[2]->target->setSlowdown(300);
+  setAll(Manner::Hold);
+  pause(milliseconds(300));
+  const auto pending = site.callLater(0, "GET", "/read/x", "hedged");
+  CHECK(Fleet::waitUntil([&] { return site.runsOf("hedged") == 2; }));
+  CHECK_EQUAL(1, site.machines[0]->target->runsOf("hedged"));
+  site.machines[0]->target->fail();
+  const auto lineOf = [&](const std::string &text) -> nlohmann::json {
+    std::ifstream log(site.machines[0]->logFile + ".out");
+    std::string line;
+    while (std::getline(log, line))
+      if (line.find(text) != std::string::npos)
+        return nlohmann::json::parse(line, nullptr, false);
+    return {};
+  };
+  nlohmann::json line;
+  CHECK(Fleet::waitUntil([&] {
+    line = lineOf("failure-500");
+    return line.is_object();
+  }));
+  STRCMP_EQUAL("hedged", line.value("request", "").c_str());
+  CHECK_EQUAL(1.0, line.value("slowdown", 0.0));
+}
+
+// Guards against a failure domain that does not learn of an abrupt change of
+// load in another one.
+TEST(SitePath, ChangeOfLoadReachesAllNodesOfOtherDomains) {
+  SiteFixture domains{{"zone-0", "zone-1", "zone-1", "zone-2"}};
+  CHECK(domains.start());
+  const auto relayedTo = [&](std::size_t n) {
+    const auto answer = domains.http.get(domains.machines[n]->metrics,
+                                         "/plantainhatch/v1/metrics");
+    const std::string name = "\nplantainhatch_relayed_loads_total ";
+    const auto at = answer.body.find(name);
+    return at == std::string::npos
+               ? 0.0
+               : std::stod(answer.body.substr(at + name.size()));
+  };
+  std::array<double, 4> before{};
+  for (std::size_t n = 0; n < before.size(); ++n)
+    before[n] = relayedTo(n);
+  domains.machines[0]->target->setSlowdown(700);
+  CHECK(Fleet::waitUntil(
+      [&] {
+        return relayedTo(1) > before[1] && relayedTo(2) > before[2] &&
+               relayedTo(3) > before[3];
+      },
+      std::chrono::seconds(2)));
+}
--- a/test/support/ChildProcess.cpp
+++ b/test/support/ChildProcess.cpp
@@ -11,8 +11,10 @@
 ChildProcess::ChildProcess(const std::vector<std::string> &words,
                            const std::string &logFile) {
   const GObjectPtr<GSubprocessLauncher> launcher(
-      g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDOUT_SILENCE));
+      g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE));
   g_subprocess_launcher_set_stderr_file_path(launcher.get(), logFile.c_str());
+  g_subprocess_launcher_set_stdout_file_path(launcher.get(),
+                                             (logFile + ".out").c_str());
   std::vector<const gchar *> argv;
   argv.reserve(words.size() + 1);
   for (const std::string &word : words)
