Answer paths outside the status prefix instead of ending the process

Cause: the prefix was cut off unchecked. Change: a path without the prefix has no name and gets 404.

--- a/src/node/StatusTask.cpp
+++ b/src/node/StatusTask.cpp
@@ -54,6 +54,13 @@
   return std::nullopt;
 }
 
+/** What follows the prefix of the status paths; empty for any other path. */
+std::string nameIn(std::string_view path) {
+  constexpr std::string_view Prefix = StatusTask::PathPrefix;
+  return path.starts_with(Prefix) ? std::string(path.substr(Prefix.size()))
+                                  : std::string();
+}
+
 } // namespace
 
 StatusTask::StatusTask(NodeServices &services, PeerTask &peers,
@@ -64,8 +71,7 @@
 
 void StatusTask::serve(const IncomingCallPtr &call) {
   const CallRequest &request = call->request();
-  const std::string name(
-      request.path().substr(std::string_view(PathPrefix).size()));
+  const std::string name = nameIn(request.path());
   const HeaderList jsonType{{"Content-Type", "application/json"}};
   if (!isSafeMethod(request.method)) {
     replyError(call, httpStatus::MethodNotAllowed,
@@ -91,7 +97,8 @@
                 makeMetrics());
   } else {
     replyError(call, httpStatus::NotFound,
-               "unknown path; use status, events or metrics");
+               std::string("unknown path; use ") + PathPrefix +
+                   " and then status, events or metrics");
   }
 }
 
@@ -166,9 +173,8 @@
   services.metrics.set("gate_in_flight", state.inFlight());
   services.metrics.set("gate_limit", state.limit());
   services.metrics.set("gate_queued", static_cast<double>(state.queued()));
-  services.metrics.set(
-      "calls_outstanding",
-      static_cast<double>(measure.loadTable().outstanding()));
+  services.metrics.set("calls_outstanding",
+                       static_cast<double>(measure.loadTable().outstanding()));
   services.metrics.set(
       "platform_requests",
       static_cast<double>(services.storeClient.requestCount()));
