Try a call at the death of a target on one other target only

A request that may crash targets could reach a third one if a failure without a crash came after the crash: only the last failure was looked at. Change: a death during any attempt counts. CallDecision.CallAtADeathAndAFailureIsNotTriedOnAThird failed before.

--- a/src/request/CallDecision.cpp
+++ b/src/request/CallDecision.cpp
@@ -87,6 +87,7 @@
                                   TimePoint now) {
   pending.erase(target);
   hasFailed = true;
+  hasTargetDied = hasTargetDied || didTargetDie;
   ++failures;
   if (!pending.empty())
     return WaitAction{};
@@ -95,7 +96,7 @@
   // A call in flight when a target dies may have caused the crash. After a
   // crash it is retried only if that was its first failure; whether the same
   // request may run again later is decided by the quarantine.
-  const unsigned allowed = didTargetDie ? MaxFailures - 1 : MaxFailures;
+  const unsigned allowed = hasTargetDied ? MaxFailures - 1 : MaxFailures;
   if (isIdempotent && failures <= allowed && hasAttemptsLeft() &&
       budget.trySpend(now))
     return ForwardAction{true};
--- a/src/request/CallDecision.h
+++ b/src/request/CallDecision.h
@@ -56,7 +56,7 @@
    * a target that is out of service permits it too. */
   static constexpr unsigned RefusalsBeforeQueue = 1;
   /** An idempotent call is retried after a failed attempt if no more than this
-   * many have failed; one less if the target died during the last one. */
+   * many have failed; one less if a target died during one of them. */
   static constexpr unsigned MaxFailures = 2;
   /** Value of Retry-After if the call is rejected. */
   static constexpr std::chrono::milliseconds RetryAfter{1'000};
@@ -118,6 +118,8 @@
   unsigned refusals = 0;
   unsigned failures = 0;
   bool hasFailed = false;
+  /** A target died during an attempt, which the call may have caused. */
+  bool hasTargetDied = false;
   bool hasHedged = false;
   bool hasRestartedPicking = false;
   bool areAllSaturated = false;
