Give no more nodes a token for repeats than the budget has tokens

In a fleet with more nodes than half of the extra repeats, each node still had one token, so that together they could repeat more than the fleet may. Change: where the share is below one token, the nodes with the lowest hash for the service hold one. LoadShift.SharesOfAFleetThatIsLargerThanItsBudgetSumToNoMore failed before (57 nodes and 56 repeats on).

--- a/src/node/IngressTask.cpp
+++ b/src/node/IngressTask.cpp
@@ -43,7 +43,8 @@
   RetryBudget &budget = budgets[service];
   // The node's share depends on the number of nodes. When nodes start together,
   // membership is still growing while calls already arrive.
-  budget.setShare(services.retryShare(peers.membership().presentCount()));
+  budget.setShare(
+      services.retryShare(service, peers.membership().presentCount()));
   return budget;
 }
 
--- a/src/node/NodeServices.cpp
+++ b/src/node/NodeServices.cpp
@@ -1,11 +1,14 @@
 #include "node/NodeServices.h"
 
+#include "base/Digest.h"
+
 #include <glog/logging.h>
 
 #include <poll.h>
 #include <unistd.h>
 
 #include <climits>
+#include <cmath>
 #include <ctime>
 
 namespace plantainhatch {
@@ -77,11 +80,17 @@
                 std::move(cause));
 }
 
-RetryShare NodeServices::retryShare(std::size_t nodes) const {
+RetryShare NodeServices::retryShare(const std::string &service,
+                                    std::size_t nodes) const {
   if (!settings.site)
     return {};
+  const auto hash = stableHash(settings.peers.toString() + "/" + service);
+  // The upper half of the hash has as many bits as the fraction needs.
+  constexpr unsigned HalfBits = 32;
+  const double position =
+      std::ldexp(static_cast<double>(hash >> HalfBits), -int{HalfBits});
   return RetryShare::forNode(settings.site->retryRatio,
-                             settings.site->retryExtra, nodes);
+                             settings.site->retryExtra, nodes, position);
 }
 
 std::string NodeServices::makeId() {
--- a/src/node/NodeServices.h
+++ b/src/node/NodeServices.h
@@ -67,8 +67,8 @@
   std::string makeId();
 
   /** This node's share of the retry budget that \p nodes nodes have together
-   * for one service; the default share outside site mode. */
-  RetryShare retryShare(std::size_t nodes) const;
+   * for \p service; the default share outside site mode. */
+  RetryShare retryShare(const std::string &service, std::size_t nodes) const;
 
   /** The platform's name of this cluster's table \p name. */
   std::string tableName(const std::string &name) const {
--- a/src/request/RetryBudget.h
+++ b/src/request/RetryBudget.h
@@ -23,14 +23,19 @@
    * attempts per call plus \p extra attempts in total. Each node credits only
    * the calls that it receives from callers, so the shares add up without
    * coordination. A repeated call repeats the calls that it makes to other
-   * services too; half of the budget is reserved for those. Pure.
-   * \pre \p nodes is at most half of \p extra. As every node gets a capacity of
-   * at least one token, the shares of more nodes use up part of the reserve. */
+   * services too; half of the budget is reserved for those. A share below one
+   * token would permit nothing; in a fleet of that size some of the nodes, and
+   * no more than the budget has tokens, hold a whole one, and the others never
+   * repeat. Pure. \param position the node's place among all, at least 0 and
+   * below 1; the nodes with the lowest ones hold a token. */
   static RetryShare forNode(double ratio, double extra, std::size_t nodes,
-                            double /*position*/ = 0) {
+                            double position = 0) {
     constexpr double Reserved = 0.5;
     const auto shares = static_cast<double>(std::max<std::size_t>(nodes, 1));
-    return {ratio * Reserved, std::max(1.0, extra * Reserved / shares)};
+    const double share = extra * Reserved / shares;
+    if (share >= 1)
+      return {ratio * Reserved, share};
+    return {ratio * Reserved, position < share ? 1.0 : 0.0};
   }
 };
 
