Count each crash at its first report only

Reports of a crash are sent until acknowledged. Each one renewed the time of the quarantine, and one that came after the request had been answered in full began a new suspicion. Change: the first report gives the time, and the crashes of a request that was cleared are remembered (256 requests).

--- a/src/process/Quarantine.cpp
+++ b/src/process/Quarantine.cpp
@@ -10,15 +10,25 @@
                     TimePoint now) {
   std::vector<std::uint64_t> quarantined;
   for (const std::uint64_t fingerprint : fingerprints) {
+    if (isCleared(fingerprint, instance))
+      continue;
     Suspicion &suspicion = suspicions[fingerprint];
-    const bool isNew = suspicion.crashes.insert(instance).second;
+    if (!suspicion.crashes.insert(instance).second)
+      continue;
     suspicion.lastCrashAt = now;
-    if (isNew && suspicion.crashes.size() == CrashLimit)
+    if (suspicion.crashes.size() == CrashLimit)
       quarantined.push_back(fingerprint);
   }
   return quarantined;
 }
 
+bool Quarantine::isCleared(std::uint64_t fingerprint,
+                           const TargetInstance &instance) const {
+  return std::ranges::any_of(clearances, [&](const Clearance &it) {
+    return it.fingerprint == fingerprint && it.crashes.contains(instance);
+  });
+}
+
 bool Quarantine::onCompleted(std::uint64_t fingerprint, TimePoint now) {
   completions.push_back({fingerprint, now});
   if (completions.size() > MaxCompletions)
@@ -34,7 +44,14 @@
 }
 
 bool Quarantine::clear(std::uint64_t fingerprint) {
-  return suspicions.erase(fingerprint) > 0;
+  const auto it = suspicions.find(fingerprint);
+  if (it == suspicions.end())
+    return false;
+  clearances.push_back({fingerprint, std::move(it->second.crashes)});
+  if (clearances.size() > MaxClearances)
+    clearances.pop_front();
+  suspicions.erase(it);
+  return true;
 }
 
 bool Quarantine::isQuarantined(std::uint64_t fingerprint, TimePoint now) const {
--- a/src/process/Quarantine.h
+++ b/src/process/Quarantine.h
@@ -21,19 +21,23 @@
 class Quarantine {
 public:
   static constexpr std::size_t CrashLimit = 2;
-  /** Suspicion and quarantine end this long after the last report of a crash,
-   * repeated ones included. */
+  /** Suspicion and quarantine end this long after the first report of the last
+   * crash. */
   static constexpr std::chrono::minutes Lifetime{10};
   /** Number of completions that are remembered, which is the work of one target
    * for many seconds. */
   static constexpr std::size_t MaxCompletions = 1024;
+  /** Number of requests that were suspected and completed since, whose crashes
+   * are remembered. */
+  static constexpr std::size_t MaxClearances = 256;
 
   /** Identifies one instance of a target by the peers address of its node and
    * its boot ID. */
   using TargetInstance = std::pair<Address, std::string>;
 
   /** An instance of a target crashed while requests with these fingerprints
-   * were in flight. The same crash may be reported repeatedly and counts once.
+   * were in flight. The same crash may be reported repeatedly and counts once,
+   * at its first report; for a request that has completed since, not at all.
    * \return the fingerprints that are newly quarantined. */
   std::vector<std::uint64_t>
   onCrash(const TargetInstance &instance,
@@ -65,7 +69,7 @@
     bool isQuarantined = false;
     /** Until the entry expires. */
     Duration remaining{};
-    /** Since the last report of a crash. */
+    /** Since the first report of the last crash. */
     Duration age{};
   };
   /** All suspected and quarantined requests, by fingerprint. */
@@ -80,9 +84,19 @@
     std::uint64_t fingerprint = 0;
     TimePoint at;
   };
+  /** The crashes that a request is no longer suspected of. */
+  struct Clearance {
+    std::uint64_t fingerprint = 0;
+    std::set<TargetInstance> crashes;
+  };
   std::map<std::uint64_t, Suspicion> suspicions;
   /** Oldest first. */
+  std::deque<Clearance> clearances;
+  /** Oldest first. */
   std::deque<Completion> completions;
+
+  bool isCleared(std::uint64_t fingerprint,
+                 const TargetInstance &instance) const;
 };
 
 } // namespace plantainhatch
