Print latencies beyond the last bin in the bucket +Inf only

A latency above 60 s gave a bucket "inf" beside "+Inf", which scrapers reject or count twice. ProcessState.LatencyBeyondTheLastBinIsInOneBucketOnly failed before.

--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/histogram.hpp>
 
+#include <cmath>
 #include <iterator>
 #include <numeric>
 #include <ranges>
@@ -71,7 +72,8 @@
   for (auto &&cell : boost::histogram::indexed(
            impl->histogram, boost::histogram::coverage::all)) {
     const auto count = static_cast<double>(*cell);
-    if (count == 0)
+    // The overflow bin is the bucket of all samples, which follows.
+    if (count == 0 || std::isinf(cell.bin().upper()))
       continue;
     cumulative += count;
     text << name << "_bucket{le=\"" << cell.bin().upper() << "\"} "
