Drop headers that any Connection header names

Only the first Connection header was read, so that headers for one connection were passed on. HttpMessageFaults.NamesInEachConnectionHeaderAreNotPassedOn failed before.

--- a/src/request/CallRequest.cpp
+++ b/src/request/CallRequest.cpp
@@ -45,12 +45,9 @@
          });
 }
 
-/** Names listed in the first Connection header; headers with these names are
- * hop-by-hop too (RFC 9110, section 7.6.1). */
-std::vector<std::string> namesInConnectionHeader(const HeaderList &list) {
+/** Adds the names that \p value, that of a Connection header, lists. */
+void addListedNames(const std::string &value, std::vector<std::string> &names) {
   static constexpr std::string_view Separators = ", \t";
-  std::vector<std::string> names;
-  const std::string value = findHeader(list, "Connection").value_or("");
   std::size_t at = 0;
   while ((at = value.find_first_not_of(Separators, at)) != std::string::npos) {
     const auto end =
@@ -58,6 +55,15 @@
     names.push_back(value.substr(at, end - at));
     at = end;
   }
+}
+
+/** Names listed in the Connection headers; headers with these names are
+ * hop-by-hop too (RFC 9110, section 7.6.1). */
+std::vector<std::string> namesInConnectionHeaders(const HeaderList &list) {
+  std::vector<std::string> names;
+  for (const auto &[name, value] : list)
+    if (equalsIgnoringCase(name, "Connection"))
+      addListedNames(value, names);
   return names;
 }
 
@@ -78,7 +84,7 @@
 }
 
 void removeHopByHopHeaders(HeaderList &list) {
-  for (const std::string &name : namesInConnectionHeader(list))
+  for (const std::string &name : namesInConnectionHeaders(list))
     removeHeader(list, name);
   std::erase_if(
       list, [](const auto &header) { return isHopByHopHeader(header.first); });
