--- a/src/process/GateLimit.cpp
+++ b/src/process/GateLimit.cpp
@@ -79,8 +79,8 @@
 void GateLimit::cutTo(unsigned limit, LimitCut cut) {
   completions = 0;
   slowStreak = timeoutStreak = 0;
-  // The limit is at its minimum already; the cut is not reported again.
-  if (currentLimit == limit && cold && cut != LimitCut::NewStart)
+  // Nothing is cut, so that there is nothing to report.
+  if (currentLimit == limit && cut != LimitCut::NewStart)
     return;
   currentLimit = limit;
   cold = currentLimit < slots;
