Probe dead members only, not those that have left

The draw was among all absent members, and none was probed if it met one that had left. Membership.DeadMemberIsProbedThoughManyHaveLeft had 0 probes in 4 intervals.

--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -114,11 +114,15 @@
   if (now < nextDeadProbeAt || tombstones.empty())
     return;
   nextDeadProbeAt = now + DeadProbeInterval;
-  std::uniform_int_distribution<std::size_t> pick(0, tombstones.size() - 1);
-  const auto it =
-      std::next(tombstones.begin(), static_cast<std::ptrdiff_t>(pick(random)));
-  if (members.at(it->first).liveness == Liveness::Dead)
-    out.push_back({it->first, Ping{nextSequence++}});
+  std::vector<Address> dead;
+  std::ranges::copy_if(tombstones | std::views::keys, std::back_inserter(dead),
+                       [&](const Address &it) {
+                         return members.at(it).liveness == Liveness::Dead;
+                       });
+  if (dead.empty())
+    return;
+  std::uniform_int_distribution<std::size_t> pick(0, dead.size() - 1);
+  out.push_back({dead[pick(random)], Ping{nextSequence++}});
 }
 
 void Membership::gossip(TimePoint now, std::vector<OutgoingMessage> &out) {
