Count a bulk request of another cluster as rejected once

The header's check and its caller both counted it. OddMessages.RequestOfAnotherClusterIsCountedOnce shows it; the test had a fault of its own in the run without the fix.

--- a/src/node/PeerTask.cpp
+++ b/src/node/PeerTask.cpp
@@ -221,10 +221,12 @@
   services.metrics.add("control_bytes_total", R"(direction="received")",
                        frame.size());
   const auto request = services.codec.decode<BulkRequest>(frame);
-  if (!request || !isAcceptable(request->header)) {
+  if (!request) {
     services.metrics.add("control_rejected_total", R"(reason="undecodable")");
     return std::nullopt;
   }
+  if (!isAcceptable(request->header))
+    return std::nullopt;
   BulkReplyBody body = answerBody(request->body);
   publishChanges();
   std::string bytes = services.codec.encode(
