Take stalled answers out of the load estimate, and log each attempt's own load

A target whose answers once stalled kept them in this node's count of outstanding calls for ever and got fewer calls: the stalled attempt left the map without its end being counted, as did a buffered answer that grew too large after its caller had left. The attempt line showed the load of the last pick, which with a hedge is another target's. Change: an attempt holds its load and ends in one place. The answer that grew too large has no test of its own.

--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -6,6 +6,7 @@
 #include "request/HttpStatus.h"
 
 #include <algorithm>
+#include <cassert>
 #include <sstream>
 
 namespace plantainhatch {
@@ -213,13 +214,12 @@
   }
   const Candidate &candidate = picked->candidate;
   decision->onForwarded(candidate.peersAddress);
-  loadAtPick = candidate.load;
   mayHedge = mayHedge && !candidate.callsOtherServices;
   if (picked->areAllSaturated)
     decision->markAllSaturated();
   task.measure.loadTable().onSent(candidate.peersAddress, NodeServices::now());
   task.services.metrics.add("attempts_total");
-  attempts[candidate.peersAddress] = nullptr;
+  attempts[candidate.peersAddress] = {nullptr, candidate.load};
   const auto hasResult = std::make_shared<bool>(false);
   // A target at its limit was picked in spite of the expected wait, so the call
   // may queue there.
@@ -229,7 +229,7 @@
   // The local gate may have refused synchronously, and a new attempt at the
   // same target may already be in flight.
   if (!*hasResult)
-    attempts[candidate.peersAddress] = source;
+    attempts[candidate.peersAddress].source = source;
   if (!isEnded)
     startHedgeTimer();
 }
@@ -263,18 +263,17 @@
     onAnswer(target, std::move(*answer));
     return;
   }
-  attempts.erase(target);
   const TimePoint now = NodeServices::now();
   if (const auto *const refused = std::get_if<DispatchRefusal>(&result)) {
     const bool isUnreachable = refused->refusal == Refusal::NotConnected;
-    logFailedAttempt(target, toString(refused->refusal));
-    task.measure.loadTable().onEnded(target, isUnreachable, now);
+    const Attempt attempt = endAttempt(target, isUnreachable);
+    logFailedAttempt(target, attempt.loadAtPick, toString(refused->refusal));
     perform(decision->onRefused(target, refused->refusal, now));
     return;
   }
   const auto &failed = std::get<DispatchFailure>(result);
-  logFailedAttempt(target, failed.reason);
-  task.measure.loadTable().onEnded(target, true, now);
+  const Attempt attempt = endAttempt(target, true);
+  logFailedAttempt(target, attempt.loadAtPick, failed.reason);
   task.services.events.count(EventKind::CallsFailed, service,
                              "at " + target.toString() + ": " + failed.reason);
   perform(decision->onFailed(target, failed.didTargetCrash, now));
@@ -306,9 +305,9 @@
   CallAction action = decision->onFailed(target, false, now);
   if (std::holds_alternative<AnswerAction>(action))
     return false;
-  attempts.erase(target);
-  logFailedAttempt(target, "failure-" + std::to_string(answer.head.status));
-  task.measure.loadTable().onEnded(target, true, now);
+  const Attempt attempt = endAttempt(target, true);
+  logFailedAttempt(target, attempt.loadAtPick,
+                   "failure-" + std::to_string(answer.head.status));
   answer.source->cancel();
   perform(std::move(action));
   return true;
@@ -319,17 +318,18 @@
     return;
   decision->onAnswer(target);
   task.stateOf(rule->name).latencies.record(NodeServices::now() - arrivedAt);
-  attempts.erase(target);
+  // The attempt stays in the map until the body has been read. Until then the
+  // load estimate of the target includes this call, and cancelAttempts() takes
+  // it out again if the call ends early.
+  auto answering = attempts.extract(target);
   cancelAttempts();
+  answering.mapped().source = answer.source;
+  attempts.insert(std::move(answering));
   deadlineTimer.stop();
   hedgeTimer.stop();
   const std::string &idHeader = task.services.callProtocol.requestIdHeader;
   removeHeader(answer.head.headers, idHeader);
   answer.head.headers.emplace_back(idHeader, request->id);
-  // The attempt stays in the map until the body has been read. Until then the
-  // load estimate of the target includes this call, and cancelAttempts() takes
-  // it out again if the call ends early.
-  attempts[target] = answer.source;
   if (shouldBufferAnswers())
     bufferAnswer(target, answer.head, answer.source);
   else
@@ -343,22 +343,30 @@
   // so the rule's timeout limits only the pause before each chunk.
   const Duration remaining =
       isClaimHeld ? Duration(rule->timeout) : deadline - NodeServices::now();
-  deadlineTimer.startOnce(
-      std::max(remaining, Duration(1)), [self, target, source] {
-        source->cancel();
-        self->attempts.erase(target);
-        self->sendLocalAnswer({httpStatus::GatewayTimeout, Outcome::Unknown,
-                               "answer-stalled", std::nullopt});
-      });
+  deadlineTimer.startOnce(std::max(remaining, Duration(1)),
+                          [self, target] { self->onAnswerStalled(target); });
   source->read([self, target, head, source](Chunk chunk) {
     self->onBufferedChunk(target, head, source, std::move(chunk));
   });
 }
 
+void IngressCall::onAnswerStalled(const Address &target) {
+  endAttempt(target, true).source->cancel();
+  sendLocalAnswer({httpStatus::GatewayTimeout, Outcome::Unknown,
+                   "answer-stalled", std::nullopt});
+}
+
+IngressCall::Attempt IngressCall::endAttempt(const Address &target,
+                                             bool failed) {
+  auto attempt = attempts.extract(target);
+  assert(!attempt.empty() && "an attempt ends once");
+  task.measure.loadTable().onEnded(target, failed, NodeServices::now());
+  return std::move(attempt.mapped());
+}
+
 void IngressCall::onBufferedChunk(const Address &target, const AnswerHead &head,
                                   const AnswerSourcePtr &source, Chunk chunk) {
   deadlineTimer.stop();
-  const TimePoint now = NodeServices::now();
   if (const auto *const bytes = std::get_if<GBytesPtr>(&chunk)) {
     bufferedBody += toString(bytes->get());
     if (bufferedBody.size() <= Claim::MaxAnswerBytes) {
@@ -370,6 +378,7 @@
       claim->finish(ClaimState::Done,
                     {head.status, head.headers, bufferedBody, false});
     if (isCallerDisconnected) {
+      endAttempt(target, false);
       drain(source);
       end();
       return;
@@ -378,14 +387,13 @@
           new PrefixedSource(std::exchange(bufferedBody, {}), source));
     return;
   }
-  attempts.erase(target);
   const bool isBroken =
       std::holds_alternative<BodyBroken>(chunk) ||
       (head.contentLength && *head.contentLength != bufferedBody.size() &&
        request->method != "HEAD");
-  task.measure.loadTable().onEnded(target, isBroken, now);
+  const Attempt attempt = endAttempt(target, isBroken);
   if (isBroken) {
-    onBufferedAnswerBroken(target);
+    onBufferedAnswerBroken(target, attempt.loadAtPick);
     return;
   }
   if (std::exchange(isClaimHeld, false))
@@ -400,8 +408,9 @@
   end();
 }
 
-void IngressCall::onBufferedAnswerBroken(const Address &target) {
-  logFailedAttempt(target, "answer-broken");
+void IngressCall::onBufferedAnswerBroken(const Address &target,
+                                         const LoadEstimate &loadAtPick) {
+  logFailedAttempt(target, loadAtPick, "answer-broken");
   if (isClaimHeld) {
     sendLocalAnswer({httpStatus::BadGateway, Outcome::Unknown, "answer-broken",
                      std::nullopt});
@@ -421,11 +430,9 @@
   AnswerRelay::start(
       incoming, head, source, rule->timeout,
       [self, target](RelayResult result) {
-        self->task.measure.loadTable().onEnded(
-            target, result == RelayResult::Broken, NodeServices::now());
+        self->endAttempt(target, result == RelayResult::Broken);
         if (result == RelayResult::Broken)
           self->task.services.metrics.add("answers_broken_total");
-        self->attempts.erase(target);
         self->end();
       },
       nullptr);
@@ -482,6 +489,7 @@
 }
 
 void IngressCall::logFailedAttempt(const Address &target,
+                                   const LoadEstimate &loadAtPick,
                                    std::string_view reason) const {
   using Milliseconds = std::chrono::milliseconds;
   const bool hasLoadReport = loadAtPick.age != Duration::max();
@@ -532,10 +540,10 @@
 }
 
 void IngressCall::cancelAttempts() {
-  for (const auto &[target, source] : std::exchange(attempts, {})) {
+  for (const auto &[target, attempt] : std::exchange(attempts, {})) {
     task.measure.loadTable().onEnded(target, false, NodeServices::now());
-    if (source)
-      source->cancel();
+    if (attempt.source)
+      attempt.source->cancel();
   }
 }
 
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -47,8 +47,6 @@
   TimePoint deadline;
   /** Null until the request has passed validation. */
   std::unique_ptr<CallDecision> decision;
-  /** Load estimate of the last picked target, for the decision log. */
-  LoadEstimate loadAtPick;
   ClaimPtr claim;
   /** True while this call owns a claim whose outcome is not written yet. */
   bool isClaimHeld = false;
@@ -57,8 +55,14 @@
   bool mayHedge = true;
   bool isEnded = false;
   bool isCallerDisconnected = false;
-  /** Attempts in flight, by the peers address of the target's node. */
-  std::map<Address, AnswerSourcePtr> attempts;
+  /** One attempt in flight. */
+  struct Attempt {
+    AnswerSourcePtr source;
+    /** The target's load estimate when it was picked, for the decision log. */
+    LoadEstimate loadAtPick;
+  };
+  /** By the peers address of the target's node. */
+  std::map<Address, Attempt> attempts;
   Timer deadlineTimer;
   Timer hedgeTimer;
   /** Body bytes read so far of a buffered answer. */
@@ -95,12 +99,17 @@
   /** True if an answer is read completely, up to Claim::MaxAnswerBytes, before
    * the caller gets its first byte. */
   bool shouldBufferAnswers() const;
-  void onBufferedAnswerBroken(const Address &target);
+  void onBufferedAnswerBroken(const Address &target,
+                              const LoadEstimate &loadAtPick);
   /** Reads the next chunk of a buffered answer. */
   void bufferAnswer(const Address &target, const AnswerHead &head,
                     const AnswerSourcePtr &source);
   void onBufferedChunk(const Address &target, const AnswerHead &head,
                        const AnswerSourcePtr &source, Chunk chunk);
+  void onAnswerStalled(const Address &target);
+  /** Takes an attempt out of the map and out of the target's load estimate.
+   * \param failed as for LoadTable::onEnded(). */
+  Attempt endAttempt(const Address &target, bool failed);
   /** Streams the answer to the caller. */
   void relay(const Address &target, const AnswerHead &head,
              const AnswerSourcePtr &source);
@@ -110,11 +119,12 @@
   /** Writes a decision log line for the end of the call. */
   void logCallEnd(DecisionKind kind, unsigned status,
                   std::string_view reason) const;
-  /** Writes a decision log line for an attempt without a usable answer. */
   /** How long ago the configuration was known to be the newest; negative if it
    * is not known. */
   std::chrono::milliseconds confirmationAge(TimePoint now) const;
-  void logFailedAttempt(const Address &target, std::string_view reason) const;
+  /** Writes a decision log line for an attempt without a usable answer. */
+  void logFailedAttempt(const Address &target, const LoadEstimate &loadAtPick,
+                        std::string_view reason) const;
   std::string formatRetryAfter(std::chrono::milliseconds delay) const;
   /** Ends the call as not run, without Retry-After. */
   void reject(unsigned status, const std::string &reason);
