Ignore the result of a connection to a former address of the target

The later of two results replaced a connection that was still watched, so that the end of the target's process went unseen.

--- a/src/node/TargetConnectionWatcher.cpp
+++ b/src/node/TargetConnectionWatcher.cpp
@@ -29,8 +29,9 @@
 }
 
 void TargetConnectionWatcher::connect() {
+  attempt = std::make_shared<TargetConnectionWatcher *>(this);
   connectTo(watched, ConnectTimeout,
-            [weak = std::weak_ptr(alive)](ConnectResult result) {
+            [weak = std::weak_ptr(attempt)](ConnectResult result) {
               if (const auto self = weak.lock())
                 (*self)->onConnected(std::move(result.connection));
             });
--- a/src/node/TargetConnectionWatcher.h
+++ b/src/node/TargetConnectionWatcher.h
@@ -32,9 +32,9 @@
   std::function<void()> onClosed;
   Address watched;
   GObjectPtr<GSocketConnection> connection;
-  /** Expires with this object, so that a pending callback does nothing. */
-  std::shared_ptr<TargetConnectionWatcher *> alive =
-      std::make_shared<TargetConnectionWatcher *>(this);
+  /** Renewed by each attempt to connect. Expires with the next one and with
+   * this object, so that the callback of a former attempt does nothing. */
+  std::shared_ptr<TargetConnectionWatcher *> attempt;
 
   void connect();
   void onConnected(GObjectPtr<GSocketConnection> established);
