Drop kept connections that may be as silent as one that was given up

After kept connections fell silent, each call on another one of them was lost in turn until TCP gave it up after 3 s. Change: a request that is given up on a kept connection without a byte in 250 ms closes the idle ones to that address that nothing has answered on since. Unsafe calls have fresh connections already. SilentConnections.OtherKeptOnesAreNotUsedAfterTheFirstTimeOut failed before; the first call on each address is still lost.

--- a/src/connection/Exchange.cpp
+++ b/src/connection/Exchange.cpp
@@ -52,6 +52,7 @@
   if (!options.needsFreshConnection) {
     if (auto kept = session->take(address)) {
       socket = std::move(*kept);
+      isOnKeptConnection = true;
       sendMessage();
       return;
     }
@@ -74,6 +75,7 @@
 
 void Exchange::sendMessage() {
   state = State::Sent;
+  sentAt = std::chrono::steady_clock::now();
   timer.stop();
   const bool isSound = socket.write(message);
   message.clear();
@@ -83,6 +85,14 @@
     failSoon("the connection broke while the request was sent");
 }
 
+void Exchange::dropSilentConnections() {
+  const bool isSilent =
+      state == State::Sent && isOnKeptConnection && reader.isFresh() &&
+      std::chrono::steady_clock::now() - sentAt >= SilenceLimit;
+  if (isSilent)
+    session->dropUnusedSince(address, sentAt);
+}
+
 void Exchange::onReady(std::uint32_t events) {
   const ExchangePtr self(this);
   if (state == State::Connecting) {
@@ -218,6 +228,7 @@
   if (state == State::Ended)
     return;
   const ExchangePtr self(this);
+  dropSilentConnections();
   if (state == State::Answered &&
       reader.state() == HttpMessageReader::State::Complete)
     release();
@@ -235,6 +246,7 @@
     over();
     return;
   }
+  dropSilentConnections();
   headReceiver = nullptr;
   chunkReceiver = nullptr;
   overAction = std::move(over);
@@ -262,6 +274,7 @@
     finishGiveUp();
     return;
   }
+  dropSilentConnections();
   const ExchangeError error{!socket.hasSentAny(), why};
   const auto receiver = std::exchange(headReceiver, nullptr);
   const auto chunks = std::exchange(chunkReceiver, nullptr);
--- a/src/connection/Exchange.h
+++ b/src/connection/Exchange.h
@@ -70,8 +70,8 @@
   static constexpr std::size_t MaxDiscarded = 256UL * 1024;
   /** What is read ahead of the reader of the body. */
   static constexpr std::size_t MaxReadAhead = 64UL * 1024;
-  /** A request without a byte of an answer for this long shows, once it is given
-   * up, that its connection may have fallen silent. */
+  /** A request without a byte of an answer for this long shows, once it is
+   * given up, that its connection may have fallen silent. */
   static constexpr std::chrono::milliseconds SilenceLimit{250};
   /** What is read in one turn of the main loop, so that others have theirs. */
   static constexpr std::size_t MaxReadPerTurn = 256UL * 1024;
@@ -104,6 +104,9 @@
   std::size_t discarded = 0;
   bool hasExtraBytes = false;
   bool isHeld = false;
+  /** The connection has carried other requests before. */
+  bool isOnKeptConnection = false;
+  TimePoint sentAt;
 
   Exchange(HttpSession *session, const CallRequest &request,
            const ExchangeOptions &options, HeadReceiver receiver);
@@ -111,6 +114,9 @@
   void begin(const ExchangeOptions &options);
   void failSoon(std::string why);
   void sendMessage();
+  /** The request is given up. If nothing of an answer has come on a connection
+   * that was kept, drops the others like it. */
+  void dropSilentConnections();
   void onReady(std::uint32_t events) override;
   void onConnectable();
   void readMore();
--- a/src/connection/HttpSession.cpp
+++ b/src/connection/HttpSession.cpp
@@ -39,6 +39,13 @@
   entry.socket.watch(entry, EPOLLRDHUP);
 }
 
+void HttpSession::dropUnusedSince(const Address &address, TimePoint time) {
+  const auto it = idle.find(address);
+  if (it != idle.end())
+    it->second.remove_if(
+        [&](const IdleConnection &entry) { return entry.since < time; });
+}
+
 void HttpSession::dropOld(IdleList &list, TimePoint now) {
   while (!list.empty() && now - list.front().since > MaxIdle)
     list.pop_front();
--- a/src/connection/HttpSession.h
+++ b/src/connection/HttpSession.h
@@ -37,6 +37,10 @@
   /** Closes the idle connections to \p address. To be called when a request
    * there has had no answer in time, as they may be as silent. */
   void drop(const Address &address) { idle.erase(address); }
+  /** Closes the idle connections to \p address that were last used before
+   * \p time. To be called when a request sent then has had no answer: later
+   * ones have been answered since, and are as sound as the path. */
+  void dropUnusedSince(const Address &address, TimePoint time);
 
 private:
   struct IdleConnection : ReadyHandler {
