List the nodes that any entry knows, not those of the first that answers

Cause, read from the code: the operator's program asked the nodes that the first entry of its settings knows, and that entry was the killed node, just started again, which may know few. Change: all entries are asked at once, and the newest record of each node is taken. NodeList.* shows it without luck.

--- a/src/operator/NodeClient.cpp
+++ b/src/operator/NodeClient.cpp
@@ -6,7 +6,10 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <memory>
+#include <ranges>
+#include <tuple>
 
 namespace plantainhatch {
 
@@ -34,6 +37,30 @@
   Timer timer;
 };
 
+/** Precedence among records of the same node, as for Member::rank(). */
+auto rankOf(const NodeListing &listing) {
+  static constexpr std::array<std::string_view, 4> Order{"alive", "suspect",
+                                                         "dead", "left"};
+  return std::tuple(listing.generation, listing.incarnation,
+                    std::ranges::find(Order, listing.liveness) - Order.begin());
+}
+
+/** \return nothing if \p member lacks its addresses. */
+std::optional<NodeListing> toListing(const json &member) {
+  if (!member.is_object())
+    return std::nullopt;
+  const auto callers = Address::parse(member.value("callers", ""));
+  const auto peers = Address::parse(member.value("peers", ""));
+  if (!callers || !peers)
+    return std::nullopt;
+  return NodeListing{*callers,
+                     *peers,
+                     member.value("failureDomain", ""),
+                     member.value("liveness", ""),
+                     member.value("generation", std::uint64_t{0}),
+                     member.value("incarnation", std::uint64_t{0})};
+}
+
 void startNext(const std::shared_ptr<FetchBatch> &batch);
 
 void onFetched(GObject *session, GAsyncResult *result, gpointer data) {
@@ -95,21 +122,21 @@
 
 std::vector<NodeListing>
 NodeClient::listNodes(const std::vector<Address> &entry) {
-  std::vector<NodeListing> listings;
-  for (const Address &node : entry) {
-    const auto answers = fetch({node}, "/plantainhatch/v1/status");
-    const auto &answer = answers.at(node);
+  std::map<Address, NodeListing> newest;
+  for (const auto &[node, answer] : fetch(entry, "/plantainhatch/v1/status")) {
     if (!answer || !answer->contains("members"))
       continue;
     for (const json &member : answer->at("members")) {
-      const auto callers = Address::parse(member.value("callers", ""));
-      const auto peers = Address::parse(member.value("peers", ""));
-      if (callers && peers)
-        listings.push_back({*callers, *peers, member.value("failureDomain", ""),
-                            member.value("liveness", "")});
+      const auto listing = toListing(member);
+      if (!listing)
+        continue;
+      const auto [it, isNew] = newest.try_emplace(listing->peers, *listing);
+      if (!isNew && rankOf(*listing) > rankOf(it->second))
+        it->second = *listing;
     }
-    break;
   }
+  std::vector<NodeListing> listings;
+  std::ranges::copy(newest | std::views::values, std::back_inserter(listings));
   std::ranges::sort(listings, {}, &NodeListing::callers);
   return listings;
 }
--- a/src/operator/NodeClient.h
+++ b/src/operator/NodeClient.h
@@ -22,6 +22,8 @@
   Address peers;
   std::string failureDomain;
   std::string liveness;
+  std::uint64_t generation = 0;
+  std::uint64_t incarnation = 0;
 
   bool isPresent() const {
     return liveness == "alive" || liveness == "suspect";
@@ -43,8 +45,8 @@
   std::map<Address, std::optional<nlohmann::json>>
   fetch(const std::vector<Address> &nodes, const std::string &path);
 
-  /** Every node that the first answering one of \p entry knows; empty if none
-   * answers. */
+  /** Every node that one of \p entry knows, each with its newest record, as a
+   * node that has just started may know few; empty if none of them answers. */
   std::vector<NodeListing> listNodes(const std::vector<Address> &entry);
 
 private:
