Send a change of load to each other failure domain once

What it cost: each step of a target's speed was sent to every node, 194 datagrams at 195 nodes, 5 of 6 of them between failure domains, each encoded anew. Change: directly to the own domain, and to one relay drawn anew in each other domain, which sends it on. BroadcastPlan shows 5 instead of 162 crossings and that each node is reached once.

--- a/src/node/MeasureTask.cpp
+++ b/src/node/MeasureTask.cpp
@@ -1,5 +1,7 @@
 #include "node/MeasureTask.h"
 
+#include "process/BroadcastPlan.h"
+
 namespace plantainhatch {
 
 namespace {
@@ -24,6 +26,31 @@
     answerProbe(message.header.sender, *probe);
   else if (const auto *const report = std::get_if<LoadReport>(&message.body))
     table.onReport(message.header.sender, *report, NodeServices::now());
+  else if (const auto *const relayed = std::get_if<RelayedLoad>(&message.body))
+    onRelayedLoad(message.header.sender, *relayed);
+}
+
+void MeasureTask::broadcastLoad() {
+  const LoadReport report = source();
+  const auto plan = BroadcastPlan::make(peers.membership(), services.random);
+  peers.sendToAll(plan.local, report);
+  peers.sendToAll(plan.relays, RelayedLoad{services.settings.peers, report});
+}
+
+void MeasureTask::onRelayedLoad(const Address &sender,
+                                const RelayedLoad &relayed) {
+  services.metrics.add("relayed_loads_total");
+  table.onReport(relayed.subject, relayed.report, NodeServices::now());
+  if (!isInOtherDomain(sender))
+    return;
+  const auto plan = BroadcastPlan::make(peers.membership(), services.random);
+  peers.sendToAll(plan.local, relayed);
+}
+
+bool MeasureTask::isInOtherDomain(const Address &member) const {
+  const Member *const found = peers.membership().find(member);
+  return found != nullptr &&
+         found->failureDomain != services.settings.failureDomain;
 }
 
 void MeasureTask::probeIfStale(const Address &candidate) {
--- a/src/node/MeasureTask.h
+++ b/src/node/MeasureTask.h
@@ -29,7 +29,13 @@
   /** Sets the rates of the budget. */
   void setRates(const MeasureRule &rule) { budget.setRates(rule); }
 
-  /** Answers a load probe or stores a load report; ignores other messages. */
+  /** Sends this node's load to all others, which should learn of an abrupt
+   * change at once: directly to those of its failure domain, and through one
+   * relay to those of each other one. */
+  void broadcastLoad();
+
+  /** Answers a load probe, stores a load report, or stores and relays one;
+   * ignores other messages. */
   void onMessage(const Message &message);
 
   /** Probes a candidate that a call did not pick, so that later calls know its
@@ -50,6 +56,8 @@
   std::uint64_t nextSequence = 1;
 
   void answerProbe(const Address &sender, const LoadProbe &probe);
+  void onRelayedLoad(const Address &sender, const RelayedLoad &relayed);
+  bool isInOtherDomain(const Address &member) const;
 };
 
 } // namespace plantainhatch
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -90,7 +90,7 @@
       [this](const ConfigurationPtr & /*before*/) {
         measure->setRates(configuration->current()->measure());
       });
-  gate->onLoadStep([this] { broadcastLoad(); });
+  gate->onLoadStep([this] { measure->broadcastLoad(); });
   TurnMonitor::instance().setListener(
       [this](Duration turn) { onTurnEnded(turn); });
   countTimer.startRepeating(EventCountFlushInterval, [this] {
@@ -110,13 +110,6 @@
        {"callsInProgress", callsInProgress}});
 }
 
-void Node::broadcastLoad() {
-  const LoadReport report = gate->load();
-  for (const auto &[address, member] : peers->membership().others())
-    if (member.isPresent())
-      peers->sendWithoutUpdates(address, report);
-}
-
 Checked<bool> Node::listen() {
   if (services.settings.site) {
     auto server = HttpServer::listen(
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -103,7 +103,6 @@
   Checked<bool> listen();
   void serve(const IncomingCallPtr &call);
   void serveForward(const IncomingCallPtr &call);
-  void broadcastLoad();
   bool isMinDrainTimeOver() const;
   void onTurnEnded(Duration turn);
   void continueStop();
--- a/src/node/PeerTask.cpp
+++ b/src/node/PeerTask.cpp
@@ -76,11 +76,26 @@
 std::size_t PeerTask::transmit(const Address &receiver,
                                const Message &message) {
   const std::string bytes = services.codec.encode(message);
+  transmitBytes(receiver, bytes);
+  return bytes.size();
+}
+
+void PeerTask::sendToAll(const std::vector<Address> &receivers,
+                         const MessageBody &body) {
+  if (receivers.empty())
+    return;
+  const std::string bytes =
+      services.codec.encode(Message{makeHeader(), body, {}, {}});
+  for (const Address &receiver : receivers)
+    transmitBytes(receiver, bytes);
+}
+
+void PeerTask::transmitBytes(const Address &receiver,
+                             const std::string &bytes) {
   socket->send(receiver, bytes);
   services.metrics.add("control_messages_total", R"(direction="sent")");
   services.metrics.add("control_bytes_total", R"(direction="sent")",
                        bytes.size());
-  return bytes.size();
 }
 
 void PeerTask::request(const Address &receiver, const BulkRequestBody &body,
--- a/src/node/PeerTask.h
+++ b/src/node/PeerTask.h
@@ -66,6 +66,9 @@
    * \return its size in bytes. */
   std::size_t sendWithoutUpdates(const Address &receiver,
                                  const MessageBody &body);
+  /** Sends the same datagram, without membership updates, to each receiver. */
+  void sendToAll(const std::vector<Address> &receivers,
+                 const MessageBody &body);
   /** Sends a bulk request over TCP. \p done is called with the reply, or with
    * nothing if there is no valid reply within BulkTimeout. It is not called
    * after this task is destroyed. */
@@ -108,6 +111,7 @@
 
   MessageHeader makeHeader();
   std::size_t transmit(const Address &receiver, const Message &message);
+  void transmitBytes(const Address &receiver, const std::string &bytes);
   bool isAcceptable(const MessageHeader &header);
   void tick();
   void sync();
--- a/src/process/Message.h
+++ b/src/process/Message.h
@@ -123,10 +123,22 @@
   }
 };
 
+/** An unsolicited LoadReport on its way through a relay. A receiver in another
+ * failure domain than the sender's is a relay and sends it to the members of
+ * its own; see BroadcastPlan. */
+struct RelayedLoad {
+  /** The peers address of the node whose target the report is about. */
+  Address subject;
+  LoadReport report;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(subject, report);
+  }
+};
+
 /** The payload of a datagram. */
 using MessageBody =
     std::variant<Ping, Ack, PingRequest, Gossip, LoadProbe, LoadReport,
-                 CrashReport, CrashAck, CrashCleared, CrashQuery>;
+                 CrashReport, CrashAck, CrashCleared, CrashQuery, RelayedLoad>;
 
 /** Fields common to all messages between nodes. Messages with another protocol
  * number or cluster name are dropped. */
