Give a cold target what it may get, counted from before it was known to be cold

What callers saw: after the loss of all machines, calls were refused while cold targets could bear more.

--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -60,6 +60,8 @@
     gateLimit.start(target.coldSlots, target.slots);
     peak = 0;
   }
+  if (isNewInstance)
+    recentStarts.clear();
   if (wasLeaving)
     currentTarget.state = TargetState::Leaving;
   else
@@ -116,13 +118,24 @@
 void Gate::setColdRateLimit(const ColdRateLimit &rateLimit, TimePoint until) {
   coldUntil = until;
   coldRate = rateLimit.callsPerSecond;
+  mostColdStartsInASecond = rateLimit.mostInASecond;
   coldRateLimiter.setRateAndCapacity(rateLimit.callsPerSecond, rateLimit.burst);
 }
 
 bool Gate::tryTakeCapacity(TimePoint now) {
   if (inFlight() >= limit())
     return false;
-  return !isRateLimited(now) || coldRateLimiter.tryTake(1, now);
+  if (!isRateLimited(now))
+    return true;
+  dropOldStarts(now);
+  return recentStarts.size() < mostColdStartsInASecond &&
+         coldRateLimiter.tryTake(1, now);
+}
+
+void Gate::dropOldStarts(TimePoint now) {
+  while (!recentStarts.empty() &&
+         now - recentStarts.front() >= std::chrono::seconds(1))
+    recentStarts.pop_front();
 }
 
 std::optional<CallId> Gate::displaceFor(const GateRequest &request) {
@@ -240,6 +253,8 @@
   calls.emplace(request.id, Call{now, request.fingerprint, currentTarget.bootId,
                                  std::nullopt, false});
   peak = std::max(peak, inFlight());
+  dropOldStarts(now);
+  recentStarts.push_back(now);
 }
 
 std::vector<QueueResult> Gate::drainQueue(TimePoint now) {
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -232,6 +232,9 @@
   TimePoint coldUntil;
   /** Calls per second. */
   double coldRate = 0;
+  std::size_t mostColdStartsInASecond = 0;
+  /** Admissions to this instance in the last second, oldest first. */
+  std::deque<TimePoint> recentStarts;
   TokenBucket coldRateLimiter{0, 0};
   TimePoint lastCompletedAt;
 
@@ -243,6 +246,7 @@
   void start(const GateRequest &request, TimePoint now);
   /** True if one more call may start; takes a token if the rate is limited. */
   bool tryTakeCapacity(TimePoint now);
+  void dropOldStarts(TimePoint now);
   /** Removes the least urgent queued call if it is less urgent than
    * \p request. */
   std::optional<CallId> displaceFor(const GateRequest &request);
--- a/test/correctness/LoadShiftTest.cpp
+++ b/test/correctness/LoadShiftTest.cpp
@@ -179,6 +179,25 @@
   CHECK(admitted.size() >= static_cast<std::size_t>(Rate) - 1);
 }
 
+// Guards against a target that becomes cold while it is busy and gets its whole
+// cold allowance beside what it has got in the same second.
+TEST(LoadShift, CallsBeforeATargetWasKnownToBeColdCountInItsFirstSecond) {
+  constexpr std::size_t Before = 24;
+  const auto limit = ColdRateLimit::forAnnouncedRate(13, 1.5, 8);
+  CHECK_EQUAL(27, limit.mostInASecond);
+  gate.announce(makeWarmTarget(200));
+  for (CallId id = 1; id <= Before; ++id)
+    gate.admit(makeRequest(id, 1, false), Start);
+  gate.setColdRateLimit(limit, Start + seconds(10));
+  std::size_t admitted = Before;
+  CallId id = Before;
+  for (TimePoint now = Start; now < Start + seconds(1); now += milliseconds(2))
+    if (gate.admit(makeRequest(++id, 1, false), now).kind ==
+        Admission::Kind::Admitted)
+      ++admitted;
+  CHECK_EQUAL(limit.mostInASecond, admitted);
+}
+
 TEST(LoadShift, NoAllowedOverageOrSlackIsPassedInAnySecond) {
   for (const double announced : {1.0, 2.0, 5.0, 20.0, 200.0})
     for (const double overage : {1.0, 1.2, 1.5})
