Bound the wait at a cold target by what callers like

Cause among others: a standing queue at each cold gate, eight calls at 16 a second. Change: a call waits there for a quarter of its target latency, at least 100 ms, and is refused at once beyond that; the operators' target_latency_ms is read for it. LoadShift.CallWaitsAtAColdTargetNoLongerThanItsCallerLikes.

--- a/src/node/ForwardedCall.cpp
+++ b/src/node/ForwardedCall.cpp
@@ -73,6 +73,9 @@
         headerOf(original, headers::FreshConnection) == "1";
     dispatchRequest.priority =
         parsePriority(headerOf(original, headers::Priority));
+    if (const auto wait =
+            parseTimeout(headerOf(original, headers::MaxColdWaitMs)))
+      dispatchRequest.maxColdWait = *wait;
     const boost::intrusive_ptr<ForwardedCall> self(this);
     const GateCallPtr call = gate.dispatch(
         std::move(dispatchRequest),
--- a/src/node/GateCall.h
+++ b/src/node/GateCall.h
@@ -32,6 +32,8 @@
   bool needsFreshConnection = false;
   /** Priority in the gate's queue; 0 is the most urgent. */
   unsigned priority = 0;
+  /** Longest wait in the queue of a cold target; see GateRequest. */
+  std::chrono::milliseconds maxColdWait = std::chrono::milliseconds::max();
 };
 
 /** The target has sent the head of its answer. */
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -8,6 +8,12 @@
 
 constexpr std::chrono::milliseconds TickInterval{20};
 
+/** The same time; the longest one stays so, as it does not fit. */
+Duration toDuration(std::chrono::milliseconds time) {
+  return time == std::chrono::milliseconds::max() ? Duration::max()
+                                                  : Duration(time);
+}
+
 } // namespace
 
 GateTask::GateTask(NodeServices &services, PeerTask &peers,
@@ -23,9 +29,13 @@
                                GateCall::Receiver receiver) {
   updateClosedReason();
   const TimePoint now = NodeServices::now();
-  const GateRequest gateRequest{
-      nextId++,         request.service,  request.fingerprint,
-      request.deadline, request.mayQueue, request.priority};
+  const GateRequest gateRequest{nextId++,
+                                request.service,
+                                request.fingerprint,
+                                request.deadline,
+                                request.mayQueue,
+                                request.priority,
+                                toDuration(request.maxColdWait)};
   const bool isQuarantined = crashes.isQuarantined(request.fingerprint);
   GateCallPtr call(new GateCall(*this, gateRequest.id, std::move(request),
                                 std::move(receiver)));
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -17,6 +17,17 @@
 
 /** Lower bound of the hedging delay, which is the rule's p95 latency. */
 constexpr std::chrono::milliseconds MinHedgeDelay{2};
+/** A call may spend this fraction of its target latency in the queue of a cold
+ * target, which needs longer than usual for the work itself. */
+constexpr int ColdWaitDivisor = 4;
+/** Shorter waits would leave a cold target idle between two calls. */
+constexpr std::chrono::milliseconds MinColdWait{100};
+
+std::chrono::milliseconds maxColdWaitOf(const ServiceRule &rule) {
+  return rule.targetLatency
+             ? std::max(MinColdWait, *rule.targetLatency / ColdWaitDivisor)
+             : std::chrono::milliseconds::max();
+}
 
 } // namespace
 
@@ -239,10 +250,10 @@
   const bool isIsolated =
       task.services.callProtocol.isolatesNonIdempotentCalls &&
       !isIdempotent(*request, *rule);
-  DispatchRequest dispatchRequest{request,       service,
-                                  fingerprint,   deadline,
-                                  mayQueue,      isClaimHeld || isIsolated,
-                                  rule->priority};
+  DispatchRequest dispatchRequest{request,        service,
+                                  fingerprint,    deadline,
+                                  mayQueue,       isClaimHeld || isIsolated,
+                                  rule->priority, maxColdWaitOf(*rule)};
   const CallPtr self(this);
   auto receiver = [self, hasResult,
                    target = candidate.peersAddress](DispatchResult result) {
--- a/src/node/RemoteDispatch.cpp
+++ b/src/node/RemoteDispatch.cpp
@@ -30,18 +30,22 @@
   proofFields.timeoutMs = std::to_string(
       forwardedTimeout(dispatchRequest.deadline, services.now()).count());
   proofFields.gate = candidate.callersAddress.toString();
-  return {{headers::NodeRequestId, dispatchRequest.request->id},
-          {headers::NodeTimeoutMs, proofFields.timeoutMs},
-          {headers::Service, proofFields.service},
-          {headers::Time, proofFields.time.toString()},
-          {headers::MayQueue, dispatchRequest.mayQueue ? "1" : "0"},
-          {headers::FreshConnection,
-           dispatchRequest.needsFreshConnection ? "1" : "0"},
-          {headers::Priority, std::to_string(dispatchRequest.priority)},
-          {headers::Version, std::to_string(version)},
-          {headers::Proof,
-           makeForwardProof(services.settings.key, *dispatchRequest.request,
-                            proofFields)}};
+  HeaderList list{{headers::NodeRequestId, dispatchRequest.request->id},
+                  {headers::NodeTimeoutMs, proofFields.timeoutMs},
+                  {headers::Service, proofFields.service},
+                  {headers::Time, proofFields.time.toString()},
+                  {headers::MayQueue, dispatchRequest.mayQueue ? "1" : "0"},
+                  {headers::FreshConnection,
+                   dispatchRequest.needsFreshConnection ? "1" : "0"},
+                  {headers::Priority, std::to_string(dispatchRequest.priority)},
+                  {headers::Version, std::to_string(version)},
+                  {headers::Proof,
+                   makeForwardProof(services.settings.key,
+                                    *dispatchRequest.request, proofFields)}};
+  if (dispatchRequest.maxColdWait != std::chrono::milliseconds::max())
+    list.emplace_back(headers::MaxColdWaitMs,
+                      std::to_string(dispatchRequest.maxColdWait.count()));
+  return list;
 }
 
 std::optional<LoadReport> parseLoad(const std::string &text) {
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -103,8 +103,11 @@
   const auto ahead = std::ranges::count_if(queue, [&](const GateRequest &it) {
     return it.priority <= request.priority;
   });
-  if (!canMeetDeadline(request, static_cast<std::size_t>(ahead) + 1, now))
+  const std::size_t position = static_cast<std::size_t>(ahead) + 1;
+  if (!canMeetDeadline(request, position, now))
     return {Admission::Kind::Refused, Refusal::DeadlineTooClose, std::nullopt};
+  if (isRateLimited(now) && !isColdWaitShort(request, position))
+    return {Admission::Kind::Refused, Refusal::ColdRate, std::nullopt};
   std::optional<CallId> displaced;
   if (queue.size() >= limit() * QueuePerSlot) {
     displaced = displaceFor(request);
@@ -249,6 +252,15 @@
          request.deadline;
 }
 
+bool Gate::isColdWaitShort(const GateRequest &request,
+                           std::size_t position) const {
+  if (coldRate <= 0)
+    return true;
+  const std::chrono::duration<double> wait(static_cast<double>(position) /
+                                           coldRate);
+  return wait <= request.maxColdWait;
+}
+
 void Gate::start(const GateRequest &request, TimePoint now) {
   calls.emplace(request.id, Call{now, request.fingerprint, currentTarget.bootId,
                                  std::nullopt, false});
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -64,6 +64,9 @@
   bool mayQueue = false;
   /** 0 is the most urgent. */
   unsigned priority = 0;
+  /** Longest wait in the queue of a cold target, whose rate is the bottleneck.
+   * A longer queue there serves no more calls, and each of them later. */
+  Duration maxColdWait = Duration::max();
 };
 
 /** How a call ended at the target. */
@@ -243,6 +246,9 @@
    * including this one ends before the deadline; 0 means no wait. */
   bool canMeetDeadline(const GateRequest &request, std::size_t position,
                        TimePoint now) const;
+  /** True if the rate of a cold target admits \p position calls within the wait
+   * that \p request allows. */
+  bool isColdWaitShort(const GateRequest &request, std::size_t position) const;
   void start(const GateRequest &request, TimePoint now);
   /** True if one more call may start; takes a token if the rate is limited. */
   bool tryTakeCapacity(TimePoint now);
--- a/src/request/HeaderNames.h
+++ b/src/request/HeaderNames.h
@@ -29,6 +29,10 @@
 /** The priority in the gate's queue; 0 is served first. */
 inline constexpr const char *Priority = "Plantainhatch-Node-Priority";
 
+/** The longest wait in the queue of a cold target, in milliseconds; absent if
+ * it is not limited. */
+inline constexpr const char *MaxColdWaitMs = "Plantainhatch-Node-Max-Cold-Wait";
+
 /** The request id and the time left in milliseconds, between nodes; callers and
  * targets may use other header names for them, see CallProtocol. */
 inline constexpr const char *NodeRequestId = "Plantainhatch-Node-Request-Id";
--- a/src/version/Rule.h
+++ b/src/version/Rule.h
@@ -55,6 +55,9 @@
   unsigned attempts = DefaultAttempts;
   /** The priority in every gate's queue; 0 is served first. */
   unsigned priority = 0;
+  /** Time within which callers expect the answer; a later one is worth less to
+   * them. Not set if it is not known. */
+  std::optional<std::chrono::milliseconds> targetLatency;
   /** The services among which calls are split by weight; if empty, all calls go
    * to the service of this rule. */
   std::vector<WeightedService> trafficSplit;
--- a/src/version/RuleRecord.cpp
+++ b/src/version/RuleRecord.cpp
@@ -22,6 +22,8 @@
           rule.timeout.count(),
           rule.attempts,
           rule.priority,
+          rule.targetLatency ? json::value(rule.targetLatency->count())
+                             : json::value(),
           std::move(split),
           rule.origin.author};
 }
@@ -68,6 +70,9 @@
   rule.timeout = std::chrono::milliseconds(reader.integer<std::int64_t>());
   rule.attempts = reader.integer<unsigned>();
   rule.priority = reader.integer<unsigned>();
+  if (const json::value &latency = reader.next(); !latency.is_null())
+    rule.targetLatency =
+        std::chrono::milliseconds(latency.to_number<std::int64_t>());
   for (const json::value &it : reader.next().as_array()) {
     FieldReader part(it);
     std::string service = part.text();
--- a/test/correctness/LoadShiftTest.cpp
+++ b/test/correctness/LoadShiftTest.cpp
@@ -301,6 +301,26 @@
   CHECK(gate.admit(hasty, Start).kind == Admission::Kind::Queued);
 }
 
+// Guards against a standing queue at a cold target, in which each call waits
+// longer than its caller likes, and none is served sooner for it.
+TEST(LoadShift, CallWaitsAtAColdTargetNoLongerThanItsCallerLikes) {
+  gate.announce(makeWarmTarget(12));
+  gate.setColdRateLimit({20, 2}, Start + seconds(10));
+  const auto admit = [&](CallId id, unsigned priority) {
+    GateRequest request = makeRequest(id, priority);
+    request.maxColdWait = milliseconds(100);
+    return gate.admit(request, Start);
+  };
+  CHECK(admit(1, 2).kind == Admission::Kind::Queued);
+  CHECK(admit(2, 2).kind == Admission::Kind::Queued);
+  const auto third = admit(3, 2);
+  CHECK(third.kind == Admission::Kind::Refused);
+  CHECK(third.refusal == Refusal::ColdRate);
+  // An urgent call waits for those before it only.
+  CHECK(admit(4, 1).kind == Admission::Kind::Queued);
+  CHECK_EQUAL(1, gate.poll(Start + milliseconds(60)).size());
+}
+
 TEST(LoadShift, ColdnessEndsWhenItWasSaidToEnd) {
   gate.announce(makeWarmTarget(12));
   gate.setColdRateLimit({1, 2}, Start + seconds(2));
--- a/test/platform/AdapterTest.cpp
+++ b/test/platform/AdapterTest.cpp
@@ -43,6 +43,7 @@
               {"prefix", "/a/"},
               {"kind", "unsafe"},
               {"timeout_ms", 1200},
+              {"target_latency_ms", 400},
               {"priority", 1},
               {"attempts", 2},
               {"service", "s"}}},
@@ -276,6 +277,8 @@
   CHECK_EQUAL(2, rule->attempts);
   CHECK_FALSE(*rule->isRetryable);
   LONGS_EQUAL(1200, rule->timeout.count());
+  CHECK(rule->targetLatency == std::chrono::milliseconds(400));
+  CHECK_FALSE(longer->targetLatency.has_value());
   CHECK_EQUAL(2, longer->trafficSplit.size());
   CHECK_EQUAL(10, longer->trafficSplit[1].weight);
   CHECK(configuration.findService("other.example", "/a/x") == nullptr);
