Ask the store less: versions from peers, one question a domain for the newest

What it cost: 17 calls a node in 30 s at 195 nodes, half of them at the start; without a configuration each node polled alone until it knew the others, each call without a rule asked anew, and a node that started took the seed row of one it did not know yet. A silent node is asked for 100 ms only.

--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds FreshnessCheckInterval{100};
 constexpr std::chrono::milliseconds InitialBackoff{500};
 constexpr int VersionDigits = 12;
+/** Names the selection of the nodes that wait at the external source. */
+constexpr const char *FollowSource = "follow-source";
 
 Duration readClock(clockid_t id) {
   timespec time{};
@@ -44,7 +46,9 @@
 ConfigurationTask::ConfigurationTask(NodeServices &services, PeerTask &peers,
                                      ConfigurationReplica::Builder builder)
     : services(services), peers(peers), replica(std::move(builder)),
-      check(guard, [this] { return askForNewest(); }) {}
+      check(guard, [this] { return askForNewest(); }),
+      proofs(services, peers, FollowSource,
+             [this](const auto &proof) { onProof(proof); }) {}
 
 void ConfigurationTask::startWithExternalSource(ExternalSource source) {
   externalSource = std::move(source);
@@ -77,11 +81,53 @@
 
 bool ConfigurationTask::askForNewest() {
   if (externalSource.confirm)
-    return externalSource.confirm();
+    return (!isCheckForPeer && proofs.ask()) || externalSource.confirm();
   readHead();
   return true;
 }
 
+void ConfigurationTask::onMessage(const Message &message) {
+  if (const auto *const query = std::get_if<VersionQuery>(&message.body))
+    onVersionQuery(message.header.sender, *query);
+  else if (const auto *const proof = std::get_if<VersionProof>(&message.body))
+    proofs.onAnswer(message.header.sender, *proof);
+}
+
+void ConfigurationTask::onVersionQuery(const Address &sender,
+                                       const VersionQuery &query) {
+  // A confirmation from before a pause proves nothing.
+  detectPause();
+  isCheckForPeer = true;
+  check.run(NodeServices::now(), nodeCount(), storeUp,
+            [this, sender, nonce = query.nonce](bool isNewest) {
+              const auto confirmedAt = guard.confirmedAt();
+              if (!isNewest || !confirmedAt)
+                return;
+              const auto age = std::chrono::ceil<std::chrono::milliseconds>(
+                  NodeServices::now() - *confirmedAt);
+              peers.sendWithoutUpdates(
+                  sender,
+                  VersionProof{nonce, replica.version(),
+                               static_cast<std::uint32_t>(age.count())});
+            });
+  isCheckForPeer = false;
+}
+
+void ConfigurationTask::onProof(
+    const std::optional<VersionProofs::Result> &proof) {
+  if (!proof || proof->version < replica.version()) {
+    if (!externalSource.confirm())
+      check.onNotConfirmed();
+    return;
+  }
+  if (proof->version == replica.version()) {
+    confirm(proof->provedAt);
+    return;
+  }
+  awaitedProof = proof;
+  pull(proof->peer);
+}
+
 bool ConfigurationTask::isStale() {
   detectPause();
   return guard.isStale(NodeServices::now());
@@ -242,9 +288,9 @@
 }
 
 bool ConfigurationTask::mustFollowSource(std::size_t readers) const {
-  return replica.version() == 0 || peers.membership().isInDoubt() ||
+  return peers.membership().isInDoubt() ||
          peers.membership().isIsolated(NodeServices::now()) ||
-         isSelectedFor(peers.membership(), "follow-source", readers);
+         isSelectedFor(peers.membership(), FollowSource, readers);
 }
 
 void ConfigurationTask::pull(const Address &peer, UpdateSize size) {
@@ -329,6 +375,8 @@
   for (const AdoptedListener &listener : listeners)
     listener(before);
   peers.gossipUpdates();
+  if (awaitedProof && replica.version() >= awaitedProof->version)
+    confirm(std::exchange(awaitedProof, std::nullopt)->provedAt);
 }
 
 void ConfigurationTask::recordMoves(const ConfigurationPtr &before) {
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -7,10 +7,12 @@
 #include "node/FreshnessCheck.h"
 #include "node/NodeServices.h"
 #include "node/PeerTask.h"
+#include "node/VersionProofs.h"
 #include "process/ConfigurationReplica.h"
 #include "process/FreshnessGuard.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -89,13 +91,19 @@
   void onBuilt(const ConfigurationPtr &built, const std::string &source);
   /** True if this node should wait at the external source for changes, which
    * are large, so that few nodes do: \p readers of each failure domain, and
-   * those that have no version yet or do not reach some of the others. The rest
-   * hear of changes from them. */
+   * those that do not reach some of the others. The rest hear of changes, and
+   * of the first version, from them. */
   bool mustFollowSource(std::size_t readers) const;
+  /** Handles a question for the newest version, or the answer to one; ignores
+   * other messages. */
+  void onMessage(const Message &message);
   /** Returns the update that a peer needs, if any. The reply is another one if
    * this node cannot tell whether the peer needs one. */
   BulkReplyBody answer(const ConfigurationRequest &request);
 
+  /** True while a version is on its way from another node. */
+  bool isPulling() const { return !pulls.empty(); }
+
   const ConfigurationPtr &current() const { return replica.current(); }
   const ConfigurationReplica &configurations() const { return replica; }
   /** True if this process was paused, and its configuration may be stale. */
@@ -115,6 +123,12 @@
   ConfigurationReplica replica;
   FreshnessGuard guard;
   FreshnessCheck check;
+  VersionProofs proofs;
+  /** A proof that names a later version than the one in force, which has been
+   * requested. */
+  std::optional<VersionProofs::Result> awaitedProof;
+  /** The check is for another node, so that no third one is asked. */
+  bool isCheckForPeer = false;
   std::vector<AdoptedListener> listeners;
   Timer pollTimer;
   Timer tickTimer;
@@ -132,6 +146,8 @@
   void tick();
   void detectPause();
   bool askForNewest();
+  void onVersionQuery(const Address &sender, const VersionQuery &query);
+  void onProof(const std::optional<VersionProofs::Result> &proof);
   void confirm(TimePoint askedAt);
   void poll();
   void confirmAfterPause();
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -74,6 +74,7 @@
   listeners.message = [this](const Message &message) {
     measure->onMessage(message);
     crashes->onMessage(message);
+    configuration->onMessage(message);
   };
   listeners.configurationVersion = [this](const Address &sender,
                                           std::uint64_t version) {
--- a/src/node/PeerTask.cpp
+++ b/src/node/PeerTask.cpp
@@ -121,6 +121,8 @@
         auto reply = task.services.codec.decode<BulkReply>(*frame);
         const bool isValid =
             reply && reply->nonce == nonce && task.isAcceptable(reply->header);
+        if (isValid)
+          task.publishVersion(reply->header);
         done(isValid ? std::optional(std::move(reply->body)) : std::nullopt);
       };
   requestBulk(receiver, bytes, onReply);
@@ -214,14 +216,17 @@
   sendAll(members.receive(*message, NodeServices::now()));
   joinUnknownSender(message->header.sender);
   publishChanges();
-  if (message->header.configurationVersion != configurationVersion &&
-      listeners.configurationVersion)
-    listeners.configurationVersion(message->header.sender,
-                                   message->header.configurationVersion);
+  publishVersion(message->header);
   if (listeners.message)
     listeners.message(*message);
 }
 
+void PeerTask::publishVersion(const MessageHeader &header) {
+  if (header.configurationVersion != configurationVersion &&
+      listeners.configurationVersion)
+    listeners.configurationVersion(header.sender, header.configurationVersion);
+}
+
 void PeerTask::joinUnknownSender(const Address &sender) {
   const TimePoint now = NodeServices::now();
   if (members.find(sender) != nullptr ||
--- a/src/node/PeerTask.h
+++ b/src/node/PeerTask.h
@@ -121,6 +121,7 @@
   BulkReplyBody answerBody(const BulkRequestBody &body);
   void sendAll(const std::vector<OutgoingMessage> &outgoing);
   void joinUnknownSender(const Address &sender);
+  void publishVersion(const MessageHeader &header);
   void publishChanges();
   void recordChange(const MemberChange &change);
 };
--- a/src/node/SeedTask.cpp
+++ b/src/node/SeedTask.cpp
@@ -32,11 +32,13 @@
   const TimePoint now = NodeServices::now();
   if (isAlone)
     joinConfiguredSeeds();
-  const Duration interval = services.settings.site
-                                ? Duration(SiteRefreshInterval)
-                                : Duration(RefreshInterval);
+  const Duration siteInterval =
+      hasRefreshed ? Duration(SiteRefreshInterval) : Duration(SiteFirstRefresh);
+  const Duration interval =
+      services.settings.site ? siteInterval : Duration(RefreshInterval);
   const bool isDue = now - lastReadAt >= interval &&
                      isSelectedFor(peers.membership(), "seeds", RowsPerDomain);
+  hasRefreshed = hasRefreshed || isDue;
   const bool isDueWhileAlone = isAlone && now - lastReadAt >= bootstrapInterval;
   if (isDueWhileAlone || isDue)
     readSeeds();
@@ -65,6 +67,7 @@
 
 void SeedTask::onRows(const std::vector<Row> &rows) {
   pendingJoins.clear();
+  ++readCount;
   seedCount = rows.size();
   for (const Row &row : rows) {
     const auto address = Address::parse(row.value);
@@ -99,7 +102,7 @@
     const bool isFree = it == rows.end();
     if (!isFree) {
       const auto holder = Address::parse(it->value);
-      if (holder && isPresent(*holder))
+      if (holder && isHeld(*holder))
         continue;
     }
     Transaction transaction;
@@ -107,11 +110,26 @@
         {key, isFree ? std::nullopt : std::optional(it->etag)});
     transaction.puts.emplace_back(key, self);
     services.storeClient.commit(services.tableName(SeedTable), transaction,
-                                [](const TransactionResult & /*result*/) {});
+                                [this](const TransactionResult &result) {
+                                  joinHolders(result.conflicts);
+                                });
     return;
   }
 }
 
+void SeedTask::joinHolders(const std::vector<Row> &rows) {
+  for (const Row &row : rows)
+    if (const auto holder = Address::parse(row.value))
+      peers.join(*holder);
+}
+
+bool SeedTask::isHeld(const Address &holder) const {
+  // A node that starts knows few others at its first read, and would take their
+  // rows. Those that it does not know at the next one are gone.
+  const bool isKnown = peers.membership().find(holder) != nullptr;
+  return isKnown ? isPresent(holder) : readCount == 1;
+}
+
 bool SeedTask::isPresent(const Address &address) const {
   const Member *const member = peers.membership().find(address);
   return member != nullptr && member->isPresent();
--- a/src/node/SeedTask.h
+++ b/src/node/SeedTask.h
@@ -32,6 +32,9 @@
   static constexpr std::chrono::seconds RefreshInterval{5};
   /** The same in site mode, where each request to the store is billed. */
   static constexpr std::chrono::seconds SiteRefreshInterval{30};
+  /** The first of these reads in site mode comes this long after the start,
+   * when the members of the failure domain are known. */
+  static constexpr std::chrono::seconds SiteFirstRefresh{2};
   /** Upper bound of the interval of reads while this node knows no other node
    * and the store fails. */
   static constexpr std::chrono::milliseconds MaxBootstrapInterval{2'000};
@@ -65,14 +68,23 @@
   std::vector<Address> pendingJoins;
   /** Number of rows in the last read. */
   std::size_t seedCount = 0;
+  bool hasRefreshed = false;
+  unsigned readCount = 0;
 
   void tick();
   void joinConfiguredSeeds();
   void readSeeds();
   void joinNext(std::size_t count);
   void onRows(const std::vector<Row> &rows);
+  /** Takes a row of this failure domain that is free, or whose holder is known
+   * to be absent. */
   void acquireRow(const std::vector<Row> &rows);
+  /** Joins the nodes that the rows name, which another one was quicker to
+   * write. */
+  void joinHolders(const std::vector<Row> &rows);
   bool isPresent(const Address &address) const;
+  /** True if the node that a row names may be present. */
+  bool isHeld(const Address &holder) const;
 };
 
 } // namespace plantainhatch
--- a/src/node/StatusTask.cpp
+++ b/src/node/StatusTask.cpp
@@ -178,6 +178,9 @@
   services.metrics.set(
       "platform_requests",
       static_cast<double>(services.storeClient.requestCount()));
+  for (const auto &[call, count] : services.storeClient.requestsByCall())
+    services.metrics.set("platform_requests_by_call", "call=\"" + call + "\"",
+                         static_cast<double>(count));
   services.metrics.set("platform_bytes",
                        static_cast<double>(services.storeClient.byteCount()));
   services.metrics.set("members_present",
--- a/src/process/LoadTable.cpp
+++ b/src/process/LoadTable.cpp
@@ -62,9 +62,9 @@
 }
 
 std::size_t LoadTable::outstanding() const {
-  const auto counts =
-      entries | std::views::values | std::views::transform(&Entry::outstanding) |
-      std::views::common;
+  const auto counts = entries | std::views::values |
+                      std::views::transform(&Entry::outstanding) |
+                      std::views::common;
   return std::accumulate(counts.begin(), counts.end(), std::size_t{0});
 }
 
--- a/src/process/Membership.cpp
+++ b/src/process/Membership.cpp
@@ -255,6 +255,7 @@
 
 void Membership::merge(const std::vector<Member> &records, bool shouldGossip,
                        TimePoint now) {
+  lastHeardAt = now;
   for (const Member &member : records)
     mergeMember(member, shouldGossip, now);
 }
--- a/src/process/Message.h
+++ b/src/process/Message.h
@@ -135,10 +135,33 @@
   }
 };
 
+/** Asks the receiver which version of the configuration is the newest, as the
+ * source of versions says. Answered by a VersionProof, or not at all if the
+ * receiver does not find out in time. */
+struct VersionQuery {
+  std::uint64_t nonce = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(nonce);
+  }
+};
+
+/** Reply to a VersionQuery, with its nonce. */
+struct VersionProof {
+  std::uint64_t nonce = 0;
+  /** The newest version at the moment of the proof. */
+  std::uint64_t version = 0;
+  /** Time since that moment. An age needs no synchronized clocks. */
+  std::uint32_t ageMs = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(nonce, version, ageMs);
+  }
+};
+
 /** The payload of a datagram. */
 using MessageBody =
     std::variant<Ping, Ack, PingRequest, Gossip, LoadProbe, LoadReport,
-                 CrashReport, CrashAck, CrashCleared, CrashQuery, RelayedLoad>;
+                 CrashReport, CrashAck, CrashCleared, CrashQuery, RelayedLoad,
+                 VersionQuery, VersionProof>;
 
 /** Fields common to all messages between nodes. Messages with another protocol
  * number or cluster name are dropped. */
--- a/src/process/Metrics.cpp
+++ b/src/process/Metrics.cpp
@@ -104,9 +104,11 @@
     for (const auto &[labels, value] : values)
       text << withLabels(Prefix + name, labels) << " " << value << "\n";
   }
-  for (const auto &[name, value] : gauges)
-    text << "# TYPE " << Prefix << name << " gauge\n"
-         << Prefix << name << " " << value << "\n";
+  for (const auto &[name, values] : gauges) {
+    text << "# TYPE " << Prefix << name << " gauge\n";
+    for (const auto &[labels, value] : values)
+      text << withLabels(Prefix + name, labels) << " " << value << "\n";
+  }
   for (const auto &[name, histogram] : histograms) {
     text << "# TYPE " << Prefix << name << " histogram\n";
     histogram.print(Prefix + name, text);
--- a/src/process/Metrics.h
+++ b/src/process/Metrics.h
@@ -49,8 +49,12 @@
    * as `reason="full"`. */
   void add(const std::string &name, const std::string &labels = {},
            std::uint64_t n = 1);
-  /** Sets a gauge. */
-  void set(const std::string &name, double value) { gauges[name] = value; }
+  /** Sets a gauge. \p labels are as for add(). */
+  void set(const std::string &name, const std::string &labels, double value) {
+    gauges[name][labels] = value;
+  }
+  /** Sets a gauge without labels. */
+  void set(const std::string &name, double value) { set(name, {}, value); }
   /** The histogram of this name, created at its first use. */
   LatencyHistogram &latency(const std::string &name) {
     return histograms[name];
@@ -62,7 +66,7 @@
 
 private:
   std::map<std::string, std::map<std::string, std::uint64_t>> counters;
-  std::map<std::string, double> gauges;
+  std::map<std::string, std::map<std::string, double>> gauges;
   std::map<std::string, LatencyHistogram> histograms;
 };
 
--- a/src/process/Rendezvous.cpp
+++ b/src/process/Rendezvous.cpp
@@ -29,4 +29,22 @@
   return static_cast<std::size_t>(higherCount) < count;
 }
 
+Address findSelected(const Membership &membership, std::string_view task) {
+  const Member &self = membership.self();
+  Address selected = self.peersAddress;
+  std::uint64_t highest = weightOf(selected, task);
+  for (const Member &member : membership.others() | std::views::values) {
+    const bool isEligible = member.liveness == Liveness::Alive &&
+                            member.failureDomain == self.failureDomain;
+    if (!isEligible)
+      continue;
+    const std::uint64_t weight = weightOf(member.peersAddress, task);
+    if (weight <= highest)
+      continue;
+    highest = weight;
+    selected = member.peersAddress;
+  }
+  return selected;
+}
+
 } // namespace plantainhatch
--- a/src/process/Rendezvous.h
+++ b/src/process/Rendezvous.h
@@ -17,6 +17,11 @@
 bool isSelectedFor(const Membership &membership, std::string_view task,
                    std::size_t count);
 
+/** The peers address of the live member of this node's failure domain with the
+ * highest hash for \p task, which may be this node. Views may differ, as for
+ * isSelectedFor(). Has no side effects. */
+Address findSelected(const Membership &membership, std::string_view task);
+
 } // namespace plantainhatch
 
 #endif
--- a/test/correctness/ProcessStateTest.cpp
+++ b/test/correctness/ProcessStateTest.cpp
@@ -74,8 +74,8 @@
   CHECK(quarantine.list(later).empty());
 }
 
-// Guards against a report that is sent again until all have acknowledged it, and
-// each time begins the quarantine anew.
+// Guards against a report that is sent again until all have acknowledged it,
+// and each time begins the quarantine anew.
 TEST(ProcessState, CrashReportThatIsSentAgainProlongsNothing) {
   Quarantine quarantine;
   quarantine.onCrash(FirstCrash, {7}, Start);
--- a/test/error/HttpMessageFaultsTest.cpp
+++ b/test/error/HttpMessageFaultsTest.cpp
@@ -130,8 +130,8 @@
   CHECK(answer.state() == State::Complete);
 }
 
-// Guards against a header that concerns one connection only and is passed on, as
-// it is named in a second Connection header.
+// Guards against a header that concerns one connection only and is passed on,
+// as it is named in a second Connection header.
 TEST(HttpMessageFaults, NamesInEachConnectionHeaderAreNotPassedOn) {
   HeaderList list{{"Connection", "close, X-First"},
                   {"X-First", "1"},
--- a/test/error/SilentConnectionTest.cpp
+++ b/test/error/SilentConnectionTest.cpp
@@ -33,15 +33,16 @@
     request.method = "GET";
     request.target = "/";
     auto made = std::make_shared<Request>();
-    made->exchange = Exchange::start(
-        &session, request, {address, {}, false},
-        [made](const Exchange::Result &result) {
-          if (!std::holds_alternative<AnswerHead>(result))
-            return;
-          made->exchange->read([made](const Chunk &chunk) {
-            made->isAnswered = std::holds_alternative<BodyEnd>(chunk);
-          });
-        });
+    made->exchange =
+        Exchange::start(&session, request, {address, {}, false},
+                        [made](const Exchange::Result &result) {
+                          if (!std::holds_alternative<AnswerHead>(result))
+                            return;
+                          made->exchange->read([made](const Chunk &chunk) {
+                            made->isAnswered =
+                                std::holds_alternative<BodyEnd>(chunk);
+                          });
+                        });
     return made;
   }
 
