--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,8 @@
 	@$(MAKE) --no-print-directory -s -C $(BUILD)-fuzz -j$(JOBS)
 	$(BUILD)-fuzz/RuleParserFuzz -runs=60000 -seed=1 -max_len=400 -verbosity=0
 	$(BUILD)-fuzz/MessageFuzz -runs=60000 -seed=1 -max_len=600 -verbosity=0
+	$(BUILD)-fuzz/HttpMessageFuzz -runs=60000 -seed=1 -max_len=600 -verbosity=0
+	$(BUILD)-fuzz/HeartbeatFuzz -runs=60000 -seed=1 -max_len=400 -verbosity=0
 
 performance: build
 	$(BUILD)/bin/measure-added-latency
