--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -103,6 +103,10 @@
 
   /** True while a version is on its way from another node. */
   bool isPulling() const { return !pulls.empty(); }
+  /** True if another node has answered, or one that was asked has not. */
+  bool isPeerStateKnown() const {
+    return nodeCount() > 1 || peers.hasExchangeFailed();
+  }
 
   const ConfigurationPtr &current() const { return replica.current(); }
   const ConfigurationReplica &configurations() const { return replica; }
--- a/src/node/PeerTask.cpp
+++ b/src/node/PeerTask.cpp
@@ -191,6 +191,7 @@
           [this, peer](const std::optional<BulkReplyBody> &body) {
             const auto *const reply =
                 body ? std::get_if<SyncReply>(&*body) : nullptr;
+            exchangeFailed = exchangeFailed || reply == nullptr;
             if (reply == nullptr)
               return;
             const auto missing = members.membersThatDiffer(reply->digests);
--- a/src/node/PeerTask.h
+++ b/src/node/PeerTask.h
@@ -77,6 +77,8 @@
   /** Exchanges memberships with the node at the peers address \p seed, which
    * need not be known. Has no effect for this node's own address. */
   void join(const Address &seed);
+  /** True if an exchange of memberships has failed, as its peer may be gone. */
+  bool hasExchangeFailed() const { return exchangeFailed; }
   /** Publishes the target beside this node to the fleet, if it has changed. */
   void setTarget(const Target &target);
   /** Publishes to the fleet that this node leaves. */
@@ -104,6 +106,7 @@
   Timer syncTimer;
   std::uint64_t configurationVersion = 0;
   TimePoint lastUnknownSenderAt;
+  bool exchangeFailed = false;
   /** Expires with this task, so that pending callbacks do nothing. */
   std::shared_ptr<PeerTask *> alive = std::make_shared<PeerTask *>(this);
 
