--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -375,8 +375,11 @@
   for (const AdoptedListener &listener : listeners)
     listener(before);
   peers.gossipUpdates();
-  if (awaitedProof && replica.version() >= awaitedProof->version)
-    confirm(std::exchange(awaitedProof, std::nullopt)->provedAt);
+  const std::optional<VersionProofs::Result> proof = awaitedProof;
+  if (proof && replica.version() >= proof->version) {
+    awaitedProof.reset();
+    confirm(proof->provedAt);
+  }
 }
 
 void ConfigurationTask::recordMoves(const ConfigurationPtr &before) {
--- a/src/node/VersionProofs.cpp
+++ b/src/node/VersionProofs.cpp
@@ -13,9 +13,10 @@
   if (peer == services.settings.peers || isMuted ||
       peers.membership().isInDoubt())
     return false;
-  open = Question{peer, services.random(), now};
+  const Question question{peer, services.random(), now};
+  open = question;
   services.metrics.add("version_queries_total");
-  peers.sendWithoutUpdates(peer, VersionQuery{open->nonce});
+  peers.sendWithoutUpdates(peer, VersionQuery{question.nonce});
   timer.startOnce(TimeLimit, [this] { onTimeout(); });
   return true;
 }
@@ -23,8 +24,9 @@
 void VersionProofs::onAnswer(const Address &sender, const VersionProof &proof) {
   if (!open || open->nonce != proof.nonce || open->peer != sender)
     return;
+  const Question answered = *open;
+  open.reset();
   timer.stop();
-  const Question answered = *std::exchange(open, std::nullopt);
   // The proof was at most this old when the question reached its sender, which
   // was after the question was sent.
   done(Result{sender, proof.version,
@@ -32,6 +34,8 @@
 }
 
 void VersionProofs::onTimeout() {
+  if (!open)
+    return;
   muted = open->peer;
   mutedUntil = NodeServices::now() + MuteTime;
   open.reset();
