--- a/test/platform/OddMessagesTest.cpp
+++ b/test/platform/OddMessagesTest.cpp
@@ -74,15 +74,14 @@
 }
 
 /** Requests that end in the middle; no answer is due. */
-const std::string CutRequests[] = {"",
-                                   "G",
-                                   "GET /",
-                                   "GET / HTTP/1.1\r\n",
-                                   "GET / HTTP/1.1\r\nHost",
-                                   "POST / HTTP/1.1\r\nContent-Length: 9\r\n"
-                                   "\r\nabc",
-                                   "POST / HTTP/1.1\r\nTransfer-Encoding: "
-                                   "chunked\r\n\r\n5\r\nab"};
+const std::string CutRequests[] = {
+    "",
+    "G",
+    "GET /",
+    "GET / HTTP/1.1\r\n",
+    "GET / HTTP/1.1\r\nHost",
+    "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc",
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"};
 
 unsigned statusOf(const std::string &answer) {
   std::istringstream stream(answer);
@@ -171,7 +170,9 @@
   for (const auto &[name, address] : listeners())
     for (const std::string &bytes : CutRequests) {
       sendAndClose(address, bytes);
-      checkServes(name + " after '" + bytes + "'");
+      std::string after = name;
+      after.append(" after '").append(bytes).append("'");
+      checkServes(after);
     }
 }
 
--- a/test/platform/StoreCallsTest.cpp
+++ b/test/platform/StoreCallsTest.cpp
@@ -42,6 +42,7 @@
 /** One machine for each entry. */
 std::vector<std::string> domains(std::size_t count, std::size_t machines) {
   std::vector<std::string> list;
+  list.reserve(machines);
   for (std::size_t n = 0; n < machines; ++n)
     list.push_back("zone-" + std::to_string(n % count));
   return list;
@@ -84,6 +85,7 @@
   pause(FreshnessCheck::MaxAge + milliseconds(100));
   const unsigned before = callsAt(site);
   std::vector<std::shared_ptr<HttpAnswer>> answers;
+  answers.reserve(Machines);
   for (std::size_t n = 0; n < Machines; ++n)
     answers.push_back(
         site.callLater(n, "GET", "/none/x", "none-" + std::to_string(n)));
