Please the linter in the test of a fleet's return

Cause: two errors, both in FleetReturnTest.cpp (a floating-point loop counter and a narrowing conversion). Change: the arrivals of a step are counted first; the size is converted explicitly. Measured: the group FleetReturn passes as before.

--- a/test/correctness/FleetReturnTest.cpp
+++ b/test/correctness/FleetReturnTest.cpp
@@ -61,7 +61,10 @@
     for (TimePoint now = Start; now < Start + plan.duration;
          now += milliseconds(1)) {
       finishWork(now);
-      for (due += plan.callsPerSecond / 1'000; due >= 1; --due)
+      due += plan.callsPerSecond / 1'000;
+      const auto arrivals = static_cast<unsigned>(due);
+      due -= arrivals;
+      for (unsigned n = 0; n < arrivals; ++n)
         arrive(now);
       if ((now - Start) % PollInterval == Duration())
         for (std::size_t n = 0; n < gates.size(); ++n)
@@ -155,7 +158,8 @@
   const ReturnPlan plan;
   const double allowedInASecond =
       plan.coldPerSecond * plan.overage + plan.slack;
-  const double bound = allowedInASecond * plan.targets / plan.callsPerSecond;
+  const double bound = allowedInASecond * static_cast<double>(plan.targets) /
+                       plan.callsPerSecond;
   const auto former = ReturningFleet(plan, formerLimit(plan)).play();
   const auto current = ReturningFleet(plan, currentLimit(plan)).play();
   CHECK(shareStarted(current) >= 0.85 * bound);
