Give a cold target three quarters of its slots

Cause: many targets slow down when they are nearly full (PROTOCOL.md). A cold one fills up at once, since its work takes longer, so each call there took longer again and fewer ended. The bound on waits at cold gates looked at the rate only, not at the slots, which were what was short. Ruled out: the same at warm gates, with a limit that grows while more calls end.

Change: while its rate is limited, a target gets three quarters of its slots, reported as its limit, and the expected wait there is the longer of that for the rate and that for a slot. Tests failed first: FleetReturn.ColdTargetsThatSlowDownNearlyFullEndMoreCalls, LoadShift.CallWaitsForASlotOfAColdTargetNoLongerThanItsCallerLikes.

--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -113,8 +113,8 @@
       gate.expectedLatency(NodeServices::now()));
   LoadReport report;
   report.inFlight = static_cast<std::uint16_t>(gate.inFlight() + gate.queued());
-  report.limit = static_cast<std::uint16_t>(gate.limit());
   const TimePoint now = NodeServices::now();
+  report.limit = static_cast<std::uint16_t>(gate.limitAt(now));
   constexpr double Percent = 100;
   report.slowdownPercent = static_cast<std::uint16_t>(
       std::clamp(gate.slowdown() * Percent, 1.0, 65'535.0));
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -83,6 +83,13 @@
   return std::min<unsigned>(gateLimit.limit(), currentTarget.coldSlots);
 }
 
+unsigned Gate::limitAt(TimePoint now) const {
+  if (!isRateLimited(now))
+    return limit();
+  const double uncrowded = currentTarget.slots * UncrowdedShare;
+  return std::min(limit(), std::max(1U, static_cast<unsigned>(uncrowded)));
+}
+
 void Gate::onTargetLost() {
   currentTarget.state = TargetState::Absent;
   gateLimit.onFailed();
@@ -106,7 +113,7 @@
   const std::size_t position = static_cast<std::size_t>(ahead) + 1;
   if (!canMeetDeadline(request, position, now))
     return {Admission::Kind::Refused, Refusal::DeadlineTooClose, std::nullopt};
-  if (isRateLimited(now) && !isColdWaitShort(request, position))
+  if (isRateLimited(now) && expectedWait(position, now) > request.maxColdWait)
     return {Admission::Kind::Refused, Refusal::ColdRate, std::nullopt};
   std::optional<CallId> displaced;
   if (queue.size() >= limit() * QueuePerSlot) {
@@ -126,7 +133,7 @@
 }
 
 bool Gate::tryTakeCapacity(TimePoint now) {
-  if (inFlight() >= limit())
+  if (inFlight() >= limitAt(now))
     return false;
   if (!isRateLimited(now))
     return true;
@@ -240,25 +247,19 @@
 
 bool Gate::canMeetDeadline(const GateRequest &request, std::size_t position,
                            TimePoint now) const {
-  const auto admissions = static_cast<Duration::rep>(position);
-  const auto concurrency = static_cast<Duration::rep>(std::max(1U, limit()));
-  const Duration wait = gateLimit.latency() * admissions / concurrency;
-  const std::chrono::duration<double> rateLimitWait{
-      isRateLimited(now) && coldRate > 0
-          ? static_cast<double>(admissions) / coldRate
-          : 0.0};
-  return now + std::max(wait,
-                        std::chrono::duration_cast<Duration>(rateLimitWait)) <
-         request.deadline;
+  return now + expectedWait(position, now) < request.deadline;
 }
 
-bool Gate::isColdWaitShort(const GateRequest &request,
-                           std::size_t position) const {
-  if (coldRate <= 0)
-    return true;
-  const std::chrono::duration<double> wait(static_cast<double>(position) /
-                                           coldRate);
-  return wait <= request.maxColdWait;
+Duration Gate::expectedWait(std::size_t position, TimePoint now) const {
+  const auto admissions = static_cast<Duration::rep>(position);
+  const auto concurrency =
+      static_cast<Duration::rep>(std::max(1U, limitAt(now)));
+  const Duration slotWait = gateLimit.latency() * admissions / concurrency;
+  if (!isRateLimited(now) || coldRate <= 0)
+    return slotWait;
+  const std::chrono::duration<double> rateWait(static_cast<double>(position) /
+                                               coldRate);
+  return std::max(slotWait, std::chrono::duration_cast<Duration>(rateWait));
 }
 
 void Gate::start(const GateRequest &request, TimePoint now) {
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -64,8 +64,8 @@
   bool mayQueue = false;
   /** 0 is the most urgent. */
   unsigned priority = 0;
-  /** Longest wait in the queue of a cold target, whose rate is the bottleneck.
-   * A longer queue there serves no more calls, and each of them later. */
+  /** Longest expected wait in the queue of a cold target. A longer queue there
+   * serves no more calls, and each of them later. */
   Duration maxColdWait = Duration::max();
 };
 
@@ -105,6 +105,10 @@
 public:
   /** Capacity of the queue, as a multiple of the limit. */
   static constexpr std::size_t QueuePerSlot = 1;
+  /** Share of its slots that a cold target gets. Many targets slow down when
+   * they are nearly full, and a cold one, which is slow already, fills up at
+   * once. */
+  static constexpr double UncrowdedShare = 0.75;
 
   /** The target has announced itself, for the first time or as a heartbeat. An
    * instance that is leaving stays so until it is replaced or considered lost.
@@ -201,6 +205,8 @@
   std::size_t queued() const { return queue.size(); }
   /** The number of concurrent calls that is allowed now. */
   unsigned limit() const;
+  /** The same, with what a target may get while its rate is limited. */
+  unsigned limitAt(TimePoint now) const;
   /** True while the adaptive limit is below the slots of the target. A
    * suspected restart does not count. */
   bool isCold() const { return gateLimit.isCold(); }
@@ -242,13 +248,12 @@
   TimePoint lastCompletedAt;
 
   Refusal reasonToRefuse(const GateRequest &request, TimePoint now) const;
-  /** True if the expected wait with \p position calls to be admitted up to and
-   * including this one ends before the deadline; 0 means no wait. */
+  /** True if the expected wait ends before the deadline. */
   bool canMeetDeadline(const GateRequest &request, std::size_t position,
                        TimePoint now) const;
-  /** True if the rate of a cold target admits \p position calls within the wait
-   * that \p request allows. */
-  bool isColdWaitShort(const GateRequest &request, std::size_t position) const;
+  /** Expected time until \p position calls were admitted, up to and including
+   * the one in question; zero if that is 0. */
+  Duration expectedWait(std::size_t position, TimePoint now) const;
   void start(const GateRequest &request, TimePoint now);
   /** True if one more call may start; takes a token if the rate is limited. */
   bool tryTakeCapacity(TimePoint now);
--- a/test/correctness/FleetReturnTest.cpp
+++ b/test/correctness/FleetReturnTest.cpp
@@ -29,6 +29,9 @@
   double slack = 8;
   /** Work of a call at a cold target. */
   milliseconds work{90};
+  /** With more calls than this at once, each one that starts takes longer. */
+  std::size_t easyCalls = 8;
+  double crowdedFactor = 1;
   milliseconds patience{800};
   seconds duration{3};
 };
@@ -36,6 +39,7 @@
 struct ReturnResult {
   unsigned calls = 0;
   unsigned started = 0;
+  unsigned finished = 0;
   unsigned mostInASecond = 0;
 };
 
@@ -107,7 +111,10 @@
 
   void start(std::size_t gate, CallId id, TimePoint now) {
     ++result.started;
-    work.push({now + plan.work, gate, id});
+    const double factor =
+        gates[gate].inFlight() > plan.easyCalls ? plan.crowdedFactor : 1;
+    work.push({now + std::chrono::duration_cast<Duration>(plan.work * factor),
+               gate, id});
     auto &recent = starts[gate];
     recent.push_back(now);
     while (now - recent.front() >= seconds(1))
@@ -127,6 +134,7 @@
     while (!work.empty() && work.top().end <= now) {
       const Work done = work.top();
       work.pop();
+      ++result.finished;
       startAll(done.gate,
                gates[done.gate].finish(done.id, GateOutcome::Completed, now),
                now);
@@ -174,3 +182,16 @@
   const auto current = ReturningFleet(plan, currentLimit(plan)).play();
   CHECK(shareStarted(current) >= 0.98);
 }
+
+// Guards against cold targets that are filled to the last slot, where each call
+// takes longer, so that fewer end.
+TEST(FleetReturn, ColdTargetsThatSlowDownNearlyFullEndMoreCalls) {
+  ReturnPlan plan;
+  plan.work = milliseconds(300);
+  plan.easyCalls = 6;
+  plan.crowdedFactor = 1.7;
+  const auto result = ReturningFleet(plan, currentLimit(plan)).play();
+  const double calls = static_cast<double>(plan.targets * plan.easyCalls) *
+                       (plan.duration / plan.work);
+  CHECK(result.finished >= 0.85 * calls);
+}
--- a/test/correctness/LoadShiftTest.cpp
+++ b/test/correctness/LoadShiftTest.cpp
@@ -321,6 +321,28 @@
   CHECK_EQUAL(1, gate.poll(Start + milliseconds(60)).size());
 }
 
+// Guards against the same where not the rate but the slots are used up.
+TEST(LoadShift, CallWaitsForASlotOfAColdTargetNoLongerThanItsCallerLikes) {
+  gate.announce(makeWarmTarget(8));
+  gate.admit(makeRequest(1, 1), Start);
+  TimePoint now = Start + milliseconds(300);
+  gate.finish(1, GateOutcome::Completed, now);
+  gate.setColdRateLimit({1'000, 100}, now + seconds(10));
+  CallId id = 2;
+  const auto admit = [&] {
+    GateRequest request = makeRequest(id++, 1);
+    request.maxColdWait = milliseconds(100);
+    return gate.admit(request, now);
+  };
+  while (admit().kind == Admission::Kind::Admitted)
+    now += milliseconds(1);
+  // A slot is due each 50 ms.
+  CHECK(admit().kind == Admission::Kind::Queued);
+  const auto third = admit();
+  CHECK(third.kind == Admission::Kind::Refused);
+  CHECK(third.refusal == Refusal::ColdRate);
+}
+
 TEST(LoadShift, ColdnessEndsWhenItWasSaidToEnd) {
   gate.announce(makeWarmTarget(12));
   gate.setColdRateLimit({1, 2}, Start + seconds(2));
