--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -107,6 +107,8 @@
       isRateLimited(now) ? Refusal::ColdRate : Refusal::Full;
   if (!request.mayQueue)
     return {Admission::Kind::Refused, noCapacity, std::nullopt};
+  if (queue.empty())
+    queueEmptyAt = now;
   const auto ahead = std::ranges::count_if(queue, [&](const GateRequest &it) {
     return it.priority <= request.priority;
   });
@@ -266,7 +268,8 @@
   if (queue.size() < limit() * QueuePerSlot)
     return true;
   const bool isLatencyKnown = gateLimit.latency() != Duration{};
-  return isLatencyKnown && expectedWait(position, now) <= burstWait;
+  return isLatencyKnown && now - queueEmptyAt <= burstWait &&
+         expectedWait(position, now) <= burstWait;
 }
 
 void Gate::start(const GateRequest &request, TimePoint now) {
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -137,8 +137,9 @@
   bool isRateLimited(TimePoint now) const { return now < coldUntil; }
 
   /** Lets the queue exceed its capacity while the expected wait is at most
-   * \p wait, so that a burst is not refused by a target that would soon have
-   * served it. Zero, as at first, keeps the capacity. */
+   * \p wait, and the queue was empty that long ago or later. A burst is then
+   * not refused by a target that would soon have served it, and overload that
+   * lasts does not make a long queue. Zero, as at first, keeps the capacity. */
   void setBurstWait(Duration wait) { burstWait = wait; }
 
   /** Sets the processing time that the target last reported, relative to
@@ -243,6 +244,7 @@
   bool isRestartSuspected = false;
   double slowdownFactor = 1;
   Duration burstWait{};
+  TimePoint queueEmptyAt;
   FailureRate failures;
   TimePoint coldUntil;
   /** Calls per second. */
--- a/test/correctness/GateTest.cpp
+++ b/test/correctness/GateTest.cpp
@@ -4,6 +4,8 @@
 
 #include <random>
 #include <set>
+#include <utility>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -240,6 +242,26 @@
   CHECK_EQUAL(4 + 4 * 50 / 5, countTaken());
 }
 
+TEST(Gate, OverloadThatLastsKeepsTheQueueShort) {
+  gate.setBurstWait(milliseconds(50));
+  gate.announce(makeTarget("a", 4, 4));
+  gate.admit(makeRequest(next), now);
+  now += milliseconds(5);
+  gate.finish(next++, GateOutcome::Completed, now);
+  std::vector<CallId> running;
+  for (int round = 0; round < 100; ++round) {
+    for (int n = 0; n < 12; ++n, ++next)
+      if (gate.admit(makeRequest(next, true), now).kind ==
+          Admission::Kind::Admitted)
+        running.push_back(next);
+    now += milliseconds(5);
+    for (const CallId id : std::exchange(running, {}))
+      for (const QueueResult &it : gate.finish(id, GateOutcome::Completed, now))
+        running.push_back(it.id);
+  }
+  CHECK(gate.queued() <= 4);
+}
+
 TEST(Gate, QueueOfASlowTargetHoldsOneCallASlot) {
   gate.setBurstWait(milliseconds(50));
   gate.announce(makeTarget("a", 4, 4));
