--- a/test/platform/BigTableTest.cpp
+++ b/test/platform/BigTableTest.cpp
@@ -28,9 +28,9 @@
 }
 
 /** A table with many routes, one of which has this timeout. */
-std::string makeDocument(unsigned timeoutMs) {
+std::string makeDocument(unsigned timeoutMs, unsigned count = ManyRoutes) {
   json routes = json::object();
-  for (unsigned n = 0; n < ManyRoutes; ++n)
+  for (unsigned n = 0; n < count; ++n)
     routes["r-" + std::to_string(n)] = makeRoute(n, 1'000);
   routes["r-700"] = makeRoute(700, timeoutMs);
   return json{{"version", timeoutMs},
@@ -69,9 +69,9 @@
     return digests.size() == 1 ? *digests.begin() : std::string();
   }
 
-  bool apply(unsigned timeoutMs) {
+  bool apply(unsigned timeoutMs, unsigned count = ManyRoutes) {
     const std::string before = commonDigest();
-    site.writeRow("config", makeDocument(timeoutMs));
+    site.writeRow("config", makeDocument(timeoutMs, count));
     return Fleet::waitUntil([&] {
       const std::string now = commonDigest();
       return !now.empty() && now != before;
@@ -104,3 +104,17 @@
       (bytesMoved() - before) / makeDocument(3'000).size();
   CHECK(tables < site.machines.size());
 }
+
+// Guards against an addition of routes for which each node takes in the whole
+// table, also the routes that were there before.
+TEST(BigTable, AdditionOfRoutesIsNotMovedAsAWholeTableToEachNode) {
+  CHECK(site.start());
+  CHECK(apply(2'000));
+  pause(std::chrono::seconds(1));
+  const std::uint64_t before = bytesMoved();
+  CHECK(apply(2'000, 2 * ManyRoutes));
+  pause(std::chrono::seconds(1));
+  const std::uint64_t tables =
+      (bytesMoved() - before) / makeDocument(2'000, 2 * ManyRoutes).size();
+  CHECK(tables < site.machines.size());
+}
--- a/test/platform/SiteFixture.cpp
+++ b/test/platform/SiteFixture.cpp
@@ -200,14 +200,14 @@
 
 json SiteTarget::heartbeat(const std::string &state,
                            const Address &shownAddress) {
-  return {
-      {"address", shownAddress.toString()},
-      {"born", births},
-      {"information", {{"service", service}, {"version", "v1"}, {"slots", 9}}},
-      {"status",
-       {{"state", state},
-        {"sequence", ++sequence},
-        {"cold_remaining_ms", coldLeft().count()}}}};
+  return {{"address", shownAddress.toString()},
+          {"born", births},
+          {"information",
+           {{"service", service}, {"version", "v1"}, {"slots", slots}}},
+          {"status",
+           {{"state", state},
+            {"sequence", ++sequence},
+            {"cold_remaining_ms", coldLeft().count()}}}};
 }
 
 SiteFixture::SiteFixture(const std::vector<std::string> &failureDomains,
--- a/test/platform/SiteFixture.h
+++ b/test/platform/SiteFixture.h
@@ -46,6 +46,8 @@
   void setServiceTime(Duration time) { serviceTime = time; }
   /** How long work takes there, as it reports; 100 is as usual. */
   void setSlowdown(unsigned percent) { slowdownPercent = percent; }
+  /** How many calls it bears at once, as it says in heartbeats. */
+  void setSlots(unsigned count) { slots = count; }
   /** Called when a request is begun, with its identifier. */
   void onRun(std::function<void(const std::string &)> action) {
     runAction = std::move(action);
@@ -88,6 +90,7 @@
   TimePoint coldUntil;
   Duration serviceTime{};
   unsigned slowdownPercent = 100;
+  unsigned slots = 9;
   std::function<void(const std::string &)> runAction;
   /** Calls at work; they end with the target. */
   std::list<std::unique_ptr<Timer>> work;
