Bound the memory that all connections of a node hold together

Callers saw nothing yet; the users' report of a like system did: bytes without end filled a machine's memory, and all its calls ended. Each connection here had its own bound, their sum had none: 100 bodies that do not end took a node beyond 32 MiB, and 300 endless heads of a target as well, as a head of 16 KiB may hold 8,000 headers.

BufferBudget counts what connections hold. While it is used up, long bodies of callers are refused as not run, answers are streamed and not gathered, and less is read ahead. A head has at most 128 headers. A request must arrive within 60 s, its head within 10 s; a relayed answer ends within an hour, and one that is drained within 60 s. A node that rejects a forwarded call before its gate sees it has not run it, so another target gets it.

--- a/src/connection/AnswerRelay.cpp
+++ b/src/connection/AnswerRelay.cpp
@@ -15,6 +15,7 @@
   relay->receiver = receiver;
   relay->source = source;
   relay->idleLimit = idleLimit;
+  relay->startedAt = std::chrono::steady_clock::now();
   relay->done = std::move(done);
   relay->observer = std::move(observer);
   if (receiver->request().method != "HEAD")
@@ -35,7 +36,9 @@
 
 void AnswerRelay::onChunk(Chunk chunk) {
   idleTimer.stop();
-  if (std::holds_alternative<BodyBroken>(chunk)) {
+  const bool isOverdue =
+      std::chrono::steady_clock::now() - startedAt >= MaxTime;
+  if (std::holds_alternative<BodyBroken>(chunk) || isOverdue) {
     breakOff();
     return;
   }
--- a/src/connection/AnswerRelay.h
+++ b/src/connection/AnswerRelay.h
@@ -28,6 +28,8 @@
                                           boost::thread_unsafe_counter> {
 public:
   using Done = std::function<void(RelayResult)>;
+  /** An answer that has not ended after this time is broken off. */
+  static constexpr std::chrono::hours MaxTime{1};
   /** Sees each chunk on its way. */
   using Observer = std::function<void(GBytes *)>;
 
@@ -42,6 +44,7 @@
   IncomingCallPtr receiver;
   AnswerSourcePtr source;
   Duration idleLimit;
+  TimePoint startedAt;
   Done done;
   Observer observer;
   Timer idleTimer;
--- a/src/connection/Exchange.cpp
+++ b/src/connection/Exchange.cpp
@@ -117,13 +117,17 @@
   sendMessage();
 }
 
+std::size_t Exchange::readAheadLimit() {
+  return BufferBudget::instance().isExhausted() ? 1 : MaxReadAhead;
+}
+
 void Exchange::readMore() {
   std::string bytes;
   std::size_t total = 0;
   auto result = StreamSocket::ReadResult::Nothing;
   const auto mayReadOn = [&] {
     return result == StreamSocket::ReadResult::Bytes &&
-           total < MaxReadPerTurn && reader.body.size() < MaxReadAhead &&
+           total < MaxReadPerTurn && reader.body.size() < readAheadLimit() &&
            (reader.state() == HttpMessageReader::State::Head ||
             reader.state() == HttpMessageReader::State::Body);
   };
@@ -135,6 +139,7 @@
       hasExtraBytes = hasExtraBytes || n < bytes.size();
     }
     total += bytes.size();
+    charge.set(reader.body);
   } while (mayReadOn());
   if (result == StreamSocket::ReadResult::End)
     reader.feedEnd();
@@ -163,7 +168,7 @@
     deliverChunk();
   if (state == State::Answered && failure.empty() &&
       reader.state() != HttpMessageReader::State::Complete)
-    socket.setReading(reader.body.size() < MaxReadAhead);
+    socket.setReading(reader.body.size() < readAheadLimit());
   else if (state == State::Answered)
     // The rest waits for the reader of the body.
     socket.unwatch();
@@ -201,6 +206,7 @@
   const auto receiver = std::exchange(chunkReceiver, nullptr);
   if (!reader.body.empty()) {
     const std::string bytes = std::exchange(reader.body, {});
+    charge.set(0);
     receiver(GBytesPtr(g_bytes_new(bytes.data(), bytes.size())));
     return;
   }
@@ -256,6 +262,7 @@
 void Exchange::discard() {
   discarded += reader.body.size();
   reader.body.clear();
+  charge.set(reader.body);
   const bool isOver = !failure.empty() || discarded > MaxDiscarded ||
                       reader.state() == HttpMessageReader::State::Complete;
   if (isOver)
@@ -291,6 +298,7 @@
   state = State::Ended;
   timer.stop();
   socket.close();
+  charge.set(0);
   const ExchangePtr self(this);
   if (std::exchange(isHeld, false))
     intrusive_ptr_release(this);
--- a/src/connection/Exchange.h
+++ b/src/connection/Exchange.h
@@ -68,7 +68,8 @@
 
   /** What is read of an answer that is no longer wanted. */
   static constexpr std::size_t MaxDiscarded = 256UL * 1024;
-  /** What is read ahead of the reader of the body. */
+  /** What is read ahead of the reader of the body, unless the buffers of this
+   * process are full. */
   static constexpr std::size_t MaxReadAhead = 64UL * 1024;
   /** A request without a byte of an answer for this long shows, once it is
    * given up, that its connection may have fallen silent. */
@@ -99,6 +100,7 @@
   /** Set once the answer is no longer wanted. */
   Action overAction;
   std::string message;
+  BufferCharge charge;
   std::string failure;
   Timer timer;
   std::size_t discarded = 0;
@@ -120,6 +122,8 @@
   void onReady(std::uint32_t events) override;
   void onConnectable();
   void readMore();
+  /** What may be read ahead at the moment. */
+  static std::size_t readAheadLimit();
   void onProgress();
   void deliverHead();
   void deliverChunk();
--- a/src/connection/HttpMessageReader.cpp
+++ b/src/connection/HttpMessageReader.cpp
@@ -68,6 +68,10 @@
 int HttpMessageReader::onField(const char *at, std::size_t n) {
   if (current == State::Body)
     return 0;
+  if (!isLastField && headers.size() >= MaxHeaders) {
+    current = State::HeadTooLarge;
+    return 1;
+  }
   if (!isLastField)
     headers.emplace_back();
   isLastField = true;
--- a/src/connection/HttpMessageReader.h
+++ b/src/connection/HttpMessageReader.h
@@ -19,6 +19,8 @@
 public:
   /** Larger heads are refused. */
   static constexpr std::size_t MaxHeadBytes = 16UL * 1024;
+  /** Each header takes memory besides its bytes. */
+  static constexpr std::size_t MaxHeaders = 128;
   /** More interim answers before the final one make it malformed. */
   static constexpr unsigned MaxInterimAnswers = 32;
 
--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -15,6 +15,16 @@
 using ConnectionPtr = boost::intrusive_ptr<ServerConnection>;
 
 constexpr std::size_t ReadBytes = 16UL * 1024;
+constexpr std::size_t SmallBodyBytes = 64UL * 1024;
+/** From here on, requests with longer bodies make room, so that the rest is
+ * left to answers and to small requests. */
+constexpr std::size_t LongBodyLimit = BufferBudget::Limit / 4 * 3;
+
+bool mustMakeRoom(std::size_t bodyBytes) {
+  const BufferBudget &budget = BufferBudget::instance();
+  return bodyBytes > SmallBodyBytes ? budget.usedBytes() >= LongBodyLimit
+                                    : bodyBytes > 0 && budget.isExhausted();
+}
 
 } // namespace
 
@@ -74,6 +84,7 @@
   }
   if (isDone)
     return;
+  chargeBuffers();
   socket.setReading(input.size() < MaxReadAhead && !hasPeerEnded);
   if (hasPeerEnded)
     onPeerEnded();
@@ -94,12 +105,17 @@
 bool ServerConnection::parseOne() {
   const bool hadHead = reader.hasHead();
   const std::size_t n = reader.feed(input);
-  input.erase(0, n);
+  if (n == input.size())
+    input = {};
+  else
+    input.erase(0, n);
+  chargeBuffers();
   if (!hadHead && reader.state() == HttpMessageReader::State::Body &&
       findHeader(reader.headers, "Expect") &&
       reader.contentLength.value_or(0) <= MaxBodyBytes)
     send("HTTP/1.1 100 Continue\r\n\r\n");
   const auto before = reader.state();
+  updateArrivalTimer(hadHead);
   onReaderState();
   return before == HttpMessageReader::State::Complete;
 }
@@ -116,29 +132,61 @@
     refuse(httpStatus::BadRequest, "the request is not HTTP/1.1\n");
   else if (isTooLarge)
     refuse(httpStatus::ContentTooLarge, "the body is larger than 1 MiB\n");
+  else if (mustMakeRoom(reader.body.size()))
+    refuse(httpStatus::ServiceUnavailable,
+           "the buffers of this node hold " +
+               std::to_string(BufferBudget::instance().usedBytes()) + " of " +
+               std::to_string(BufferBudget::Limit) + " bytes\n",
+           {{headers::RetryAfter, "1"}});
   else if (reader.state() == State::Complete)
     handOver();
 }
 
+void ServerConnection::updateArrivalTimer(bool hadHead) {
+  using State = HttpMessageReader::State;
+  const bool isArriving =
+      (reader.state() == State::Head && !reader.isFresh()) ||
+      reader.state() == State::Body;
+  if (!isArriving)
+    arrivalTimer.stop();
+  else if (!hadHead && reader.hasHead())
+    arrivalTimer.startOnce(MaxArrivalTime, [this] { onArrivalTimeout(); });
+  else if (!arrivalTimer.isRunning())
+    arrivalTimer.startOnce(MaxHeadTime, [this] { onArrivalTimeout(); });
+}
+
+void ServerConnection::onArrivalTimeout() {
+  if (call == nullptr && !isDone && !isClosing)
+    refuse(httpStatus::RequestTimeout,
+           "the request has not arrived whole in time\n");
+}
+
+void ServerConnection::chargeBuffers() {
+  charge.set(input.capacity() + reader.body.capacity() + servedBodyBytes);
+}
+
 void ServerConnection::handOver() {
   CallRequest request;
   request.method = reader.method();
   request.target = std::move(reader.target);
   request.headers = std::move(reader.headers);
-  request.body = std::move(reader.body);
+  servedBodyBytes = reader.body.capacity();
+  request.body = std::exchange(reader.body, {});
   const IncomingCallPtr incoming(new IncomingCall(this, std::move(request)));
   call = incoming.get();
   (*handler)(incoming);
 }
 
-void ServerConnection::refuse(unsigned status, const std::string &text) {
+void ServerConnection::refuse(unsigned status, const std::string &text,
+                              HeaderList list) {
+  reader.body = {};
+  chargeBuffers();
+  list.emplace_back(headers::Outcome, toString(Outcome::NotRun));
+  list.emplace_back("Content-Type", "text/plain");
   const IncomingCallPtr incoming(new IncomingCall(this, {}));
   call = incoming.get();
   incoming->closeAfterAnswer();
-  incoming->reply(status,
-                  {{headers::Outcome, std::string(toString(Outcome::NotRun))},
-                   {"Content-Type", "text/plain"}},
-                  text);
+  incoming->reply(status, list, text);
 }
 
 void ServerConnection::sendThen(std::string_view bytes, Action written) {
@@ -169,6 +217,8 @@
     return;
   }
   reader.restart();
+  servedBodyBytes = 0;
+  chargeBuffers();
   if (hasPeerEnded)
     onPeerEnded();
   else
@@ -228,7 +278,9 @@
   socket.close();
   unlink();
   writtenAction = nullptr;
-  input.clear();
+  input = {};
+  charge.set(0);
+  arrivalTimer.stop();
   // The timer's action may be what runs now.
   const ConnectionPtr self(this, false);
   if (lingerTimer.isRunning())
--- a/src/connection/ServerConnection.h
+++ b/src/connection/ServerConnection.h
@@ -32,6 +32,10 @@
   static constexpr std::size_t MaxBodyBytes = 1024UL * 1024;
   /** What is read ahead while a request is being served. */
   static constexpr std::size_t MaxReadAhead = 64UL * 1024;
+  /** How long a request may take to arrive, from its first byte on. */
+  static constexpr std::chrono::seconds MaxArrivalTime{60};
+  /** The same for its head. */
+  static constexpr std::chrono::seconds MaxHeadTime{10};
   /** How long a connection waits for the other side to close after the last
    * answer, so that this answer is not lost to a reset. */
   static constexpr std::chrono::seconds LingerTime{1};
@@ -71,6 +75,11 @@
   IncomingCall *call = nullptr;
   Action writtenAction;
   Timer lingerTimer;
+  /** Runs while a request is arriving. */
+  Timer arrivalTimer;
+  BufferCharge charge;
+  /** Allocated by the body of the request that is being served. */
+  std::size_t servedBodyBytes = 0;
   bool isClosing = false;
   bool isLingering = false;
   bool isParsing = false;
@@ -84,8 +93,11 @@
   void parse();
   bool parseOne();
   void onReaderState();
+  void updateArrivalTimer(bool hadHead);
+  void onArrivalTimeout();
+  void chargeBuffers();
   void handOver();
-  void refuse(unsigned status, const std::string &text);
+  void refuse(unsigned status, const std::string &text, HeaderList list = {});
   void onPeerEnded();
   void onBroken();
   void linger();
--- a/src/connection/StreamSocket.cpp
+++ b/src/connection/StreamSocket.cpp
@@ -48,7 +48,7 @@
       isWatched(std::exchange(other.isWatched, false)),
       isReading(other.isReading), sentAny(other.sentAny),
       baseEvents(other.baseEvents), queued(std::move(other.queued)),
-      sent(other.sent) {}
+      sent(other.sent), queuedCharge(std::move(other.queuedCharge)) {}
 
 StreamSocket &StreamSocket::operator=(StreamSocket &&other) noexcept {
   if (this == &other)
@@ -61,6 +61,7 @@
   baseEvents = other.baseEvents;
   queued = std::move(other.queued);
   sent = other.sent;
+  queuedCharge = std::move(other.queuedCharge);
   return *this;
 }
 
@@ -146,6 +147,7 @@
 bool StreamSocket::write(std::string_view bytes) {
   const bool wasQueued = hasQueued();
   queued.append(bytes);
+  queuedCharge.set(queued);
   return wasQueued || flush();
 }
 
@@ -163,9 +165,11 @@
     sent += static_cast<std::size_t>(n);
   }
   if (!hasQueued()) {
-    queued.clear();
+    // Not cleared: most connections are idle, and would keep the memory.
+    queued = {};
     sent = 0;
   }
+  queuedCharge.set(queued);
   const bool hasMore = hasQueued();
   if (isWatched && (hasMore || hadQueued))
     updateEvents();
--- a/src/connection/StreamSocket.h
+++ b/src/connection/StreamSocket.h
@@ -4,6 +4,7 @@
 #define PLANTAINHATCH_CONNECTION_STREAMSOCKET_H
 
 #include "base/Address.h"
+#include "connection/BufferBudget.h"
 #include "connection/Reactor.h"
 
 #include <cstddef>
@@ -76,6 +77,7 @@
   std::uint32_t baseEvents = 0;
   std::string queued;
   std::size_t sent = 0;
+  BufferCharge queuedCharge;
 
   void updateEvents();
 };
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -380,11 +380,15 @@
   deadlineTimer.stop();
   if (const auto *const bytes = std::get_if<GBytesPtr>(&chunk)) {
     bufferedBody += toString(bytes->get());
-    if (bufferedBody.size() <= Claim::MaxAnswerBytes) {
+    bufferedCharge.set(bufferedBody);
+    const bool mayBuffer =
+        isClaimHeld || !BufferBudget::instance().isExhausted();
+    if (mayBuffer && bufferedBody.size() <= Claim::MaxAnswerBytes) {
       bufferAnswer(target, head, source);
       return;
     }
     // Too large to buffer: the chunks read so far and the rest are streamed.
+    bufferedCharge.set(0);
     if (std::exchange(isClaimHeld, false))
       claim->finish(ClaimState::Done,
                     {head.status, head.headers, bufferedBody, false});
@@ -427,7 +431,8 @@
                      std::nullopt});
     return;
   }
-  bufferedBody.clear();
+  bufferedBody = {};
+  bufferedCharge.set(0);
   const TimePoint now = NodeServices::now();
   const CallPtr self(this);
   deadlineTimer.startOnce(std::max(deadline - now, Duration(1)),
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -67,6 +67,7 @@
   Timer hedgeTimer;
   /** Body bytes read so far of a buffered answer. */
   std::string bufferedBody;
+  BufferCharge bufferedCharge;
 
   IngressCall(IngressTask &task, IncomingCallPtr incoming,
               std::function<void()> onDone);
--- a/src/node/RemoteDispatch.cpp
+++ b/src/node/RemoteDispatch.cpp
@@ -102,13 +102,20 @@
 
 void RemoteDispatch::onAnswer(AnswerHead head) {
   const auto reason = findHeader(head.headers, headers::Reason);
+  const bool isNotRun = findHeader(head.headers, headers::Outcome) ==
+                        std::string(toString(Outcome::NotRun));
+  // Every answer of a gate tells its load. What lacks that was rejected by the
+  // other node before it came to the gate, for example as its buffers are full.
+  if (isNotRun && !findHeader(head.headers, headers::Load)) {
+    drain(exchange);
+    deliver(DispatchRefusal{Refusal::Full});
+    return;
+  }
   if (!reason) {
     removeHopByHopHeaders(head.headers);
     deliver(DispatchAnswer{std::move(head), this});
     return;
   }
-  const bool isNotRun = findHeader(head.headers, headers::Outcome) ==
-                        std::string(toString(Outcome::NotRun));
   drain(exchange);
   if (isNotRun)
     deliver(DispatchRefusal{parseRefusal(*reason)});
@@ -132,17 +139,28 @@
     action(std::move(result));
 }
 
-void drain(const AnswerSourcePtr &source, std::size_t limit) {
-  source->read([source, limit](const Chunk &chunk) {
+namespace {
+
+void drainUntil(const AnswerSourcePtr &source, std::size_t limit,
+                const std::shared_ptr<Timer> &timer) {
+  source->read([source, limit, timer](const Chunk &chunk) {
     const auto *const bytes = std::get_if<GBytesPtr>(&chunk);
+    const std::size_t n = bytes == nullptr ? 0 : g_bytes_get_size(bytes->get());
     if (bytes == nullptr)
-      return;
-    const std::size_t n = g_bytes_get_size(bytes->get());
-    if (n < limit)
-      drain(source, limit - n);
+      timer->stop();
+    else if (n < limit)
+      drainUntil(source, limit - n, timer);
     else
       source->cancel();
   });
 }
 
+} // namespace
+
+void drain(const AnswerSourcePtr &source, std::size_t limit) {
+  const auto timer = std::make_shared<Timer>();
+  timer->startOnce(MaxDrainTime, [source] { source->cancel(); });
+  drainUntil(source, limit, timer);
+}
+
 } // namespace plantainhatch
--- a/src/node/RemoteDispatch.h
+++ b/src/node/RemoteDispatch.h
@@ -52,10 +52,12 @@
 
 /** The most that drain() reads. */
 inline constexpr std::size_t MaxDrainedBytes = 16UL * 1024 * 1024;
+/** How long drain() reads. */
+inline constexpr std::chrono::seconds MaxDrainTime{60};
 
 /** Reads and discards the rest of an answer body, so that its connection can
- * be reused. Cancels \p source after \p limit bytes. \pre No read of \p source
- * is pending. */
+ * be reused. Cancels \p source after \p limit bytes or MaxDrainTime. \pre No
+ * read of \p source is pending. */
 void drain(const AnswerSourcePtr &source, std::size_t limit = MaxDrainedBytes);
 
 } // namespace plantainhatch
--- a/src/request/HttpStatus.h
+++ b/src/request/HttpStatus.h
@@ -12,6 +12,7 @@
 inline constexpr unsigned Forbidden = 403;
 inline constexpr unsigned NotFound = 404;
 inline constexpr unsigned MethodNotAllowed = 405;
+inline constexpr unsigned RequestTimeout = 408;
 inline constexpr unsigned Conflict = 409;
 inline constexpr unsigned ContentTooLarge = 413;
 inline constexpr unsigned UnprocessableContent = 422;
