Take no memory for a frame before its bytes have come

Seen in a test: 30 connections to the peers address, each with the length of a frame of 16 MiB and 4 bytes, took a node beyond 32 MiB, before any of them had proved to be a node. Cause: the whole length was allocated on their word, for 32 connections at once, and a frame had no time limit. Frames are read in pieces of 64 KiB, at most 4 MiB and 10 s, and not while the buffers are full. BytesWithoutEnd.OfStrangers failed before and passes now.

--- a/src/connection/Frame.cpp
+++ b/src/connection/Frame.cpp
@@ -1,5 +1,9 @@
 #include "connection/Frame.h"
 
+#include "base/Time.h"
+#include "connection/BufferBudget.h"
+
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <cstring>
@@ -9,13 +13,23 @@
 namespace {
 
 constexpr std::size_t PrefixBytes = sizeof(guint32);
+/** Memory that is taken on the word of who has sent the length. */
+constexpr std::size_t PieceBytes = 64UL * 1024;
 
 /** One frame being read. */
 struct ReadOperation {
+  ReadOperation(GInputStream *from, FrameReader receiver)
+      : stream(refGObject(from)), done(std::move(receiver)) {}
+
   GObjectPtr<GInputStream> stream;
   FrameReader done;
   guint32 prefix = 0;
+  /** The length of the whole frame. */
+  std::size_t length = 0;
+  std::size_t read = 0;
   std::string payload;
+  TimePoint startedAt;
+  BufferCharge charge;
 };
 
 /** One frame being written. */
@@ -24,6 +38,11 @@
   std::string bytes;
 };
 
+/** Bytes that are asked for next. */
+std::size_t nextPiece(const ReadOperation &operation) {
+  return std::min(PieceBytes, operation.length - operation.read);
+}
+
 bool hasReadAll(GObject *source, GAsyncResult *result, std::size_t wanted) {
   gsize n = 0;
   return g_input_stream_read_all_finish(G_INPUT_STREAM(source), result, &n,
@@ -31,13 +50,36 @@
          n == wanted;
 }
 
-void onPayload(GObject *source, GAsyncResult *result, gpointer data) {
-  const std::unique_ptr<ReadOperation> operation(
-      static_cast<ReadOperation *>(data));
-  if (hasReadAll(source, result, operation->payload.size()))
+void readPiece(std::unique_ptr<ReadOperation> operation);
+
+void onPiece(GObject *source, GAsyncResult *result, gpointer data) {
+  std::unique_ptr<ReadOperation> operation(static_cast<ReadOperation *>(data));
+  const std::size_t wanted = nextPiece(*operation);
+  if (!hasReadAll(source, result, wanted)) {
+    operation->done(std::nullopt);
+    return;
+  }
+  operation->read += wanted;
+  if (operation->read == operation->length)
     operation->done(std::move(operation->payload));
   else
+    readPiece(std::move(operation));
+}
+
+void readPiece(std::unique_ptr<ReadOperation> operation) {
+  const bool isOverdue =
+      std::chrono::steady_clock::now() - operation->startedAt >= MaxFrameTime;
+  if (isOverdue || BufferBudget::instance().isExhausted()) {
     operation->done(std::nullopt);
+    return;
+  }
+  ReadOperation *const raw = operation.release();
+  const std::size_t n = nextPiece(*raw);
+  raw->payload.resize(raw->read + n);
+  raw->charge.set(raw->payload);
+  g_input_stream_read_all_async(raw->stream.get(),
+                                raw->payload.data() + raw->read, n,
+                                G_PRIORITY_DEFAULT, nullptr, onPiece, raw);
 }
 
 void onPrefix(GObject *source, GAsyncResult *result, gpointer data) {
@@ -48,10 +90,9 @@
     operation->done(std::nullopt);
     return;
   }
-  operation->payload.resize(n);
-  ReadOperation *const raw = operation.release();
-  g_input_stream_read_all_async(raw->stream.get(), raw->payload.data(), n,
-                                G_PRIORITY_DEFAULT, nullptr, onPayload, raw);
+  operation->length = n;
+  operation->startedAt = std::chrono::steady_clock::now();
+  readPiece(std::move(operation));
 }
 
 void onWritten(GObject *source, GAsyncResult *result, gpointer data) {
@@ -66,8 +107,7 @@
 } // namespace
 
 void readFrame(GInputStream *stream, FrameReader done) {
-  auto *const operation =
-      new ReadOperation{refGObject(stream), std::move(done), 0, std::string()};
+  auto *const operation = new ReadOperation(stream, std::move(done));
   g_input_stream_read_all_async(stream, &operation->prefix, PrefixBytes,
                                 G_PRIORITY_DEFAULT, nullptr, onPrefix,
                                 operation);
