Close a connection that cannot be accepted for want of descriptors

Read in the code, not seen in a run: accept() fails while all descriptors are in use, the connection stays in the queue, and the main loop wakes for it without end, writing a line each time. A spare descriptor is given up for a moment, so that the connection can be closed. No test of its own.

--- a/src/connection/ListeningSocket.cpp
+++ b/src/connection/ListeningSocket.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,6 +22,9 @@
   return {{field, 0, 0, {}, address.toString() + ": " + std::strerror(errno)}};
 }
 
+/** A descriptor that can be given up for a moment. */
+int openSpare() { return eventfd(0, EFD_CLOEXEC); }
+
 } // namespace
 
 Checked<std::unique_ptr<ListeningSocket>>
@@ -48,19 +52,37 @@
 }
 
 ListeningSocket::ListeningSocket(int fd, Receiver receiver)
-    : fd(fd), receiver(std::move(receiver)) {
+    : fd(fd), spareFd(openSpare()), receiver(std::move(receiver)) {
   Reactor::instance().add(fd, EPOLLIN, *this);
 }
 
 ListeningSocket::~ListeningSocket() {
   Reactor::instance().remove(fd);
   ::close(fd);
+  if (spareFd >= 0)
+    ::close(spareFd);
+}
+
+bool ListeningSocket::rejectOne() {
+  if (spareFd < 0)
+    return false;
+  ::close(spareFd);
+  const int rejected = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
+  if (rejected >= 0)
+    ::close(rejected);
+  spareFd = openSpare();
+  return rejected >= 0;
 }
 
 void ListeningSocket::onReady(std::uint32_t /*events*/) {
   while (true) {
     const int accepted =
         accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0 && (errno == EMFILE || errno == ENFILE)) {
+      if (!rejectOne())
+        return;
+      continue;
+    }
     if (accepted < 0) {
       if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
         LOG(WARNING) << "a connection cannot be accepted: "
--- a/src/connection/ListeningSocket.h
+++ b/src/connection/ListeningSocket.h
@@ -33,10 +33,16 @@
 
 private:
   int fd;
+  /** Kept so that a connection can be closed when no descriptor is left; else
+   * it would wait, and wake the main loop without end. Negative if there is
+   * none. */
+  int spareFd;
   Receiver receiver;
 
   ListeningSocket(int fd, Receiver receiver);
 
+  /** \return false if no connection was waiting. */
+  bool rejectOne();
   void onReady(std::uint32_t events) override;
 };
 
