Run no call by a version known to be too old, and send additions compressed

The gate on the way did not look at the version of the call.

A node remembers since when it has known of a newer version than its own. After 500 ms it asks a node that has it for the rule of each call, or rejects the call as not run. A gate refuses calls of a version that it replaced 500 ms ago. Repeats are picked and run by the version in force at that moment. The newer version is asked for every 200 ms, from other nodes first. Updates between nodes are compressed, so that an addition is no longer too long to come from another node. Logs tell when a version was heard of, from whom, and how long and long-lasting an update was.

--- a/src/connection/BulkMessage.h
+++ b/src/connection/BulkMessage.h
@@ -53,6 +53,17 @@
   }
 };
 
+/** The same as a ConfigurationRequest, from a node that takes compressed
+ * updates. */
+struct CompactConfigurationRequest {
+  std::uint64_t version = 0;
+  /** Empty if the update may be of any length. */
+  std::string digest;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(version, digest);
+  }
+};
+
 /** Answers a SyncRequest. */
 struct SyncReply {
   BucketDigests digests{};
@@ -70,15 +81,26 @@
   }
 };
 
-/** Answers a SyncPush and a ConfigurationOffer, and a ConfigurationRequest
- * about which the node can say nothing. */
+/** Answers a CompactConfigurationRequest. */
+struct CompactConfigurationReply {
+  /** An encoded ConfigurationUpdate, compressed; nothing if there is none. */
+  std::optional<std::string> update;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(update);
+  }
+};
+
+/** Answers a SyncPush and a ConfigurationOffer, and a request for a
+ * configuration about which the node can say nothing. */
 struct PushReply {
   template <typename Archive> void serialize(Archive & /*archive*/) {}
 };
 
-using BulkRequestBody = std::variant<SyncRequest, SyncPush,
-                                     ConfigurationRequest, ConfigurationOffer>;
-using BulkReplyBody = std::variant<SyncReply, PushReply, ConfigurationReply>;
+using BulkRequestBody =
+    std::variant<SyncRequest, SyncPush, ConfigurationRequest,
+                 ConfigurationOffer, CompactConfigurationRequest>;
+using BulkReplyBody = std::variant<SyncReply, PushReply, ConfigurationReply,
+                                   CompactConfigurationReply>;
 
 /** A request. The nonce comes back in the reply, so that a recorded reply is of
  * no use. */
--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -1,6 +1,8 @@
 #include "node/ConfigurationTask.h"
 
+#include "base/Compression.h"
 #include "process/Rendezvous.h"
+#include "version/RuleRecord.h"
 
 #include <algorithm>
 #include <ctime>
@@ -14,6 +16,8 @@
 constexpr std::chrono::milliseconds FreshnessCheckInterval{100};
 constexpr std::chrono::milliseconds InitialBackoff{500};
 constexpr int VersionDigits = 12;
+/** A longer update is not sent to a node that takes no compressed ones. */
+constexpr std::size_t MaxPlainUpdateBytes = 32UL * 1024;
 /** Names the selection of the nodes that wait at the external source. */
 constexpr const char *FollowSource = "follow-source";
 
@@ -48,7 +52,8 @@
     : services(services), peers(peers), replica(std::move(builder)),
       check(guard, [this] { return askForNewest(); }),
       proofs(services, peers, FollowSource,
-             [this](const auto &proof) { onProof(proof); }) {}
+             [this](const auto &proof) { onProof(proof); }),
+      lookup(services, peers) {}
 
 void ConfigurationTask::startWithExternalSource(ExternalSource source) {
   externalSource = std::move(source);
@@ -70,6 +75,7 @@
 }
 
 void ConfigurationTask::confirm(TimePoint askedAt) {
+  heard.onConfirmed(askedAt);
   guard.onConfirmed(askedAt, FreshnessGuard::Source::Store);
   check.onConfirmed();
 }
@@ -91,6 +97,10 @@
     onVersionQuery(message.header.sender, *query);
   else if (const auto *const proof = std::get_if<VersionProof>(&message.body))
     proofs.onAnswer(message.header.sender, *proof);
+  else if (const auto *const rule = std::get_if<RuleQuery>(&message.body))
+    onRuleQuery(message.header.sender, *rule);
+  else if (const auto *const answer = std::get_if<RuleAnswer>(&message.body))
+    lookup.onAnswer(message.header.sender, *answer);
 }
 
 void ConfigurationTask::onVersionQuery(const Address &sender,
@@ -141,6 +151,9 @@
   detectPause();
   if (guard.takePauseDetected())
     confirmAfterPause();
+  pullNewest();
+  if (heard.lag(NodeServices::now()) >= LongUpdateInterval)
+    askSource();
 }
 
 void ConfigurationTask::poll() {
@@ -270,8 +283,16 @@
 
 void ConfigurationTask::onPeerVersion(const Address &peer,
                                       std::uint64_t version) {
-  if (version > replica.version())
-    pull(peer);
+  if (version <= replica.version())
+    return;
+  const bool isNew = heard.onHeard(version, peer, NodeServices::now());
+  if (isNew)
+    services.logDecision(DecisionKind::StateChange,
+                         {{"event", "newer-version-heard"},
+                          {"version", version},
+                          {"inForce", replica.version()},
+                          {"from", peer.toString()}});
+  pull(peer);
 }
 
 void ConfigurationTask::onOffered(const ConfigurationOffer &offer) {
@@ -293,53 +314,177 @@
          isSelectedFor(peers.membership(), FollowSource, readers);
 }
 
-void ConfigurationTask::pull(const Address &peer, UpdateSize size) {
-  if (pulls.size() >= MaxPulls || !pulls.insert(peer).second)
+bool ConfigurationTask::mayPull() const {
+  return pulls.empty() || (pulls.size() < MaxPulls &&
+                           NodeServices::now() - lastPullAt >= PullHedgeDelay);
+}
+
+void ConfigurationTask::pullNewest() {
+  const auto holders = heard.holders();
+  const auto it = std::ranges::find_if(
+      holders, [this](const Address &peer) { return !pulls.contains(peer); });
+  const bool isDue = NodeServices::now() - lastPullAt >= PullHedgeDelay;
+  if (it != holders.end() && isDue)
+    pull(*it);
+}
+
+BulkRequestBody ConfigurationTask::makeRequest(UpdateKind kind) const {
+  const std::string &digest = replica.current()->head().digest;
+  if (kind == UpdateKind::Plain)
+    return ConfigurationRequest{replica.version(), digest};
+  // Without a digest, the peer sends the whole text, however long it is.
+  return CompactConfigurationRequest{
+      replica.version(), kind == UpdateKind::Any ? std::string() : digest};
+}
+
+void ConfigurationTask::pull(const Address &peer, UpdateKind kind) {
+  if (!mayPull() || !pulls.insert(peer).second)
     return;
   const TimePoint askedAt = NodeServices::now();
-  // Without a digest, the peer sends the whole text, however long it is.
-  const std::string digest = size == UpdateSize::Any
-                                 ? std::string()
-                                 : replica.current()->head().digest;
+  lastPullAt = askedAt;
   peers.request(
-      peer, ConfigurationRequest{replica.version(), digest},
-      [this, peer, size, askedAt](const std::optional<BulkReplyBody> &body) {
+      peer, makeRequest(kind),
+      [this, peer, kind, askedAt](const std::optional<BulkReplyBody> &body) {
         pulls.erase(peer);
-        const auto *const reply =
-            body ? std::get_if<ConfigurationReply>(&*body) : nullptr;
-        if (body && reply == nullptr && size == UpdateSize::Short)
-          requestLongUpdate(peer);
-        if (reply == nullptr)
+        if (body) {
+          if (!takeReply(peer, *body, askedAt) && kind != UpdateKind::Any)
+            requestLongUpdate(peer);
           return;
-        guard.onConfirmed(askedAt, FreshnessGuard::Source::Peer);
-        if (!reply->update)
-          return;
-        const ConfigurationPtr before = replica.current();
-        const AdoptResult result = replica.adopt(*reply->update);
-        finishAdoption(result, before, "node " + peer.toString());
+        }
+        services.metrics.add("configuration_pulls_failed_total");
+        if (kind == UpdateKind::Short &&
+            NodeServices::now() - askedAt < UnknownRequestTime)
+          pull(peer, UpdateKind::Plain);
       });
 }
 
-void ConfigurationTask::requestLongUpdate(const Address &peer) {
+bool ConfigurationTask::takeReply(const Address &peer,
+                                  const BulkReplyBody &body,
+                                  TimePoint askedAt) {
+  const auto *const plain = std::get_if<ConfigurationReply>(&body);
+  const auto *const compact = std::get_if<CompactConfigurationReply>(&body);
+  if (plain == nullptr && compact == nullptr)
+    return false;
+  guard.onConfirmed(askedAt, FreshnessGuard::Source::Peer);
+  std::optional<ConfigurationUpdate> update;
+  std::size_t bytes = 0;
+  if (plain != nullptr && plain->update) {
+    update = plain->update;
+    bytes = plain->update->textSize();
+  } else if (compact != nullptr && compact->update) {
+    update = decodeUpdate(*compact->update);
+    bytes = compact->update->size();
+  }
+  if (!update)
+    return true;
+  services.logDecision(DecisionKind::StateChange,
+                       {{"event", "update-received"},
+                        {"from", peer.toString()},
+                        {"bytes", bytes},
+                        {"ms", std::chrono::floor<std::chrono::milliseconds>(
+                                   NodeServices::now() - askedAt)
+                                   .count()}});
+  const ConfigurationPtr before = replica.current();
+  const AdoptResult result = replica.adopt(*update);
+  finishAdoption(result, before, "node " + peer.toString());
+  return true;
+}
+
+std::optional<ConfigurationUpdate>
+ConfigurationTask::decodeUpdate(const std::string &bytes) const {
+  const auto text = decompress(bytes, 2 * MaxUpdateTextBytes);
+  return text ? services.codec.decode<ConfigurationUpdate>(*text)
+              : std::nullopt;
+}
+
+std::optional<bool> ConfigurationTask::askSource() {
   const TimePoint now = NodeServices::now();
   if (!externalSource.confirm || now - lastLongUpdateAt < LongUpdateInterval)
-    return;
+    return std::nullopt;
   lastLongUpdateAt = now;
-  if (!storeUp || isSourceFailing || !externalSource.confirm())
-    pull(peer, UpdateSize::Any);
+  return storeUp && !isSourceFailing && externalSource.confirm();
+}
+
+void ConfigurationTask::requestLongUpdate(const Address &peer) {
+  if (askSource() == false)
+    pull(peer, UpdateKind::Any);
+}
+
+void ConfigurationTask::onOutdatedAt(const Address &peer) { pull(peer); }
+
+bool ConfigurationTask::isTooOld(std::uint64_t version) const {
+  const TimePoint now = NodeServices::now();
+  const auto supersededAt = history.supersededAt(version);
+  return (supersededAt && now - *supersededAt >= HeardVersions::MaxLag) ||
+         (heard.isOutdated(now) && version < heard.newest());
+}
+
+void ConfigurationTask::lookUpRule(const std::string &host,
+                                   const std::string &path,
+                                   RuleLookup::Done done) {
+  // Only the records of an external source hold a rule whole.
+  if (!externalSource.confirm) {
+    done(std::nullopt);
+    return;
+  }
+  lookup.find(
+      {host, path, heard.newest()}, heard.holders(),
+      [this, done = std::move(done)](std::optional<RuleLookup::Result> result) {
+        if (result)
+          heard.onUsed(result->version);
+        done(std::move(result));
+      });
+}
+
+void ConfigurationTask::onRuleQuery(const Address &sender,
+                                    const RuleQuery &query) {
+  if (query.leastVersion > replica.version() || isOutdated() || isStale())
+    return;
+  const ServiceRule *const rule =
+      replica.current()->findService(query.host, query.path);
+  std::string record = rule == nullptr ? std::string() : encodeRecord(*rule);
+  if (record.size() <= RuleLookup::MaxQueryBytes)
+    peers.sendWithoutUpdates(
+        sender, RuleAnswer{query.nonce, replica.version(), std::move(record)});
 }
 
 BulkReplyBody ConfigurationTask::answer(const ConfigurationRequest &request) {
   // The peer would take a reply without an update for a confirmation.
-  if (isStale() || request.version > replica.version())
+  const bool isConfirming = request.version == replica.version();
+  if (isStale() || request.version > replica.version() ||
+      (isConfirming && isOutdated()))
     return PushReply{};
   auto update = replica.updateFor(request.version, request.digest);
   const bool mayDecline = externalSource.confirm && !request.digest.empty();
-  if (mayDecline && update && update->textSize() > MaxUpdateBytes)
+  if (mayDecline && update && update->textSize() > MaxPlainUpdateBytes)
     return PushReply{};
   return ConfigurationReply{std::move(update)};
 }
 
+BulkReplyBody
+ConfigurationTask::answer(const CompactConfigurationRequest &request) {
+  const bool isConfirming = request.version == replica.version();
+  if (isStale() || request.version > replica.version() ||
+      (isConfirming && isOutdated()))
+    return PushReply{};
+  const bool isKnown = encoded.from == request.version &&
+                       encoded.digest == request.digest &&
+                       encoded.to == replica.version();
+  if (!isKnown) {
+    const auto update = replica.updateFor(request.version, request.digest);
+    if (!update)
+      return CompactConfigurationReply{};
+    if (update->textSize() > MaxUpdateTextBytes)
+      return PushReply{};
+    encoded = {request.version, request.digest, replica.version(),
+               compress(services.codec.encode(*update))};
+  }
+  const bool mayDecline = externalSource.confirm && !request.digest.empty();
+  if (mayDecline && encoded.bytes.size() > MaxUpdateBytes)
+    return PushReply{};
+  return CompactConfigurationReply{encoded.bytes};
+}
+
 void ConfigurationTask::setStoreUp(bool isUp, const std::string &cause) {
   if (isUp == storeUp)
     return;
@@ -364,13 +509,22 @@
   if (replica.current() == before)
     return;
   const ConfigurationHead &head = replica.current()->head();
+  const TimePoint now = NodeServices::now();
+  const Duration lag = heard.lag(now);
+  history.onAdopted(head.version, now);
+  heard.onInForce(head.version);
+  services.metrics.latency("configuration_lag_seconds").record(lag);
   peers.setConfigurationVersion(head.version);
   services.metrics.set("configuration_version",
                        static_cast<double>(head.version));
-  services.record(EventKind::ConfigurationAdopted, std::to_string(head.version),
-                  head.change,
-                  "asked by " + head.author + ", apply " + head.applyId +
-                      ", from " + source);
+  services.record(
+      EventKind::ConfigurationAdopted, std::to_string(head.version),
+      head.change,
+      "asked by " + head.author + ", apply " + head.applyId + ", from " +
+          source + ", heard of " +
+          std::to_string(
+              std::chrono::floor<std::chrono::milliseconds>(lag).count()) +
+          " ms ago");
   recordMoves(before);
   for (const AdoptedListener &listener : listeners)
     listener(before);
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -7,9 +7,12 @@
 #include "node/FreshnessCheck.h"
 #include "node/NodeServices.h"
 #include "node/PeerTask.h"
+#include "node/RuleLookup.h"
 #include "node/VersionProofs.h"
 #include "process/ConfigurationReplica.h"
 #include "process/FreshnessGuard.h"
+#include "process/HeardVersions.h"
+#include "process/VersionHistory.h"
 
 #include <functional>
 #include <optional>
@@ -34,9 +37,16 @@
   /** Peers that may be asked for a version at the same time, as one may have
    * fallen silent. */
   static constexpr std::size_t MaxPulls = 3;
-  /** A longer update is not taken from a peer while the external source
-   * answers, as the links between nodes are slower than those to the source. */
-  static constexpr std::size_t MaxUpdateBytes = 32UL * 1024;
+  /** How long one peer has before another one is asked as well. */
+  static constexpr std::chrono::milliseconds PullHedgeDelay{200};
+  /** A compressed update that is longer is not taken from a peer while the
+   * external source answers, as the links between nodes are slower than those
+   * to the source. */
+  static constexpr std::size_t MaxUpdateBytes = 256UL * 1024;
+  /** Text of an update before compression. A longer one is not sent. */
+  static constexpr std::size_t MaxUpdateTextBytes = 2UL * 1024 * 1024;
+  /** A peer that ends the connection sooner does not know the request. */
+  static constexpr std::chrono::milliseconds UnknownRequestTime{500};
   /** Least time between two requests to the external source for updates that
    * peers have found too long. On a slow link, an earlier one may take as long.
    */
@@ -57,8 +67,8 @@
     listeners.push_back(std::move(listener));
   }
 
-  /** Pulls the configuration from \p peer if it has reported a newer version.
-   */
+  /** Pulls the configuration from \p peer if it has reported a newer version,
+   * and bounds from then on how long the present one is used. */
   void onPeerVersion(const Address &peer, std::uint64_t version);
   /** Another source of versions than the head row. */
   struct ExternalSource {
@@ -100,6 +110,25 @@
   /** Returns the update that a peer needs, if any. The reply is another one if
    * this node cannot tell whether the peer needs one. */
   BulkReplyBody answer(const ConfigurationRequest &request);
+  /** The same with a compressed update. */
+  BulkReplyBody answer(const CompactConfigurationRequest &request);
+
+  /** True if this node has heard too long ago of a newer version than the one
+   * in force, so that no call may be run by that. */
+  bool isOutdated() const { return heard.isOutdated(NodeServices::now()); }
+  /** True if a call that its ingress runs by \p version would be run by a
+   * version that is known here to be too old. */
+  bool isTooOld(std::uint64_t version) const;
+  /** Finds the rule for a call at a node that has a newer version. \p done is
+   * called once, with nothing if there is no such rule, or no node answers.
+   * \pre isOutdated() */
+  void lookUpRule(const std::string &host, const std::string &path,
+                  RuleLookup::Done done);
+  /** A gate has refused a call as its version was too old: asks \p peer, where
+   * the gate is, for a newer one. */
+  void onOutdatedAt(const Address &peer);
+  /** What other nodes have in force and this one does not. */
+  const HeardVersions &heardVersions() const { return heard; }
 
   /** True while a version is on its way from another node. */
   bool isPulling() const { return !pulls.empty(); }
@@ -128,6 +157,9 @@
   FreshnessGuard guard;
   FreshnessCheck check;
   VersionProofs proofs;
+  HeardVersions heard;
+  VersionHistory history;
+  RuleLookup lookup;
   /** A proof that names a later version than the one in force, which has been
    * requested. */
   std::optional<VersionProofs::Result> awaitedProof;
@@ -142,6 +174,15 @@
   bool isReading = false;
   /** Peers that have been asked for a version and have not replied. */
   std::set<Address> pulls;
+  TimePoint lastPullAt;
+  /** The latest compressed update, as several peers ask for the same one. */
+  struct EncodedUpdate {
+    std::uint64_t from = 0;
+    std::string digest;
+    std::uint64_t to = 0;
+    std::string bytes;
+  };
+  EncodedUpdate encoded;
   TimePoint lastLongUpdateAt;
   /** The external source has not answered the latest request to confirm. */
   bool isSourceFailing = false;
@@ -159,12 +200,28 @@
   void onHead(const RowResult &row, TimePoint askedAt);
   void readText(const ConfigurationHead &head);
   void repairHead(const std::string &storedEtag);
-  /** Whether an update may be longer than MaxUpdateBytes. */
-  enum class UpdateSize : std::uint8_t { Short, Any };
-  void pull(const Address &peer, UpdateSize size = UpdateSize::Short);
+  /** Whether an update may be longer than MaxUpdateBytes, or must be plain, for
+   * a peer that knows no compressed ones. */
+  enum class UpdateKind : std::uint8_t { Short, Any, Plain };
+  void pull(const Address &peer, UpdateKind kind = UpdateKind::Short);
+  /** Whether another peer may be asked now. */
+  bool mayPull() const;
+  /** Asks a node that has the newest version that was heard of. */
+  void pullNewest();
+  BulkRequestBody makeRequest(UpdateKind kind) const;
+  std::optional<ConfigurationUpdate>
+  decodeUpdate(const std::string &bytes) const;
+  /** \return false if the reply holds nothing about the configuration. */
+  bool takeReply(const Address &peer, const BulkReplyBody &body,
+                 TimePoint askedAt);
+  void adoptUpdate(const Address &peer, const ConfigurationUpdate &update);
+  void onRuleQuery(const Address &sender, const RuleQuery &query);
   /** Asks for an update that \p peer has found too long: the external source,
    * or \p peer again if that does not answer. */
   void requestLongUpdate(const Address &peer);
+  /** Asks the external source, at most once in LongUpdateInterval.
+   * \return false if it does not answer; nothing if it was asked lately. */
+  std::optional<bool> askSource();
   void finishAdoption(AdoptResult result, const ConfigurationPtr &before,
                       const std::string &source);
   void recordMoves(const ConfigurationPtr &before);
--- a/src/node/ForwardedCall.cpp
+++ b/src/node/ForwardedCall.cpp
@@ -6,6 +6,7 @@
 #include "request/HttpStatus.h"
 
 #include <charconv>
+#include <limits>
 #include <sstream>
 
 namespace plantainhatch {
@@ -35,6 +36,17 @@
   return priority;
 }
 
+/** The newest version if \p text is no number, as nothing shows that the call
+ * is run by an older one. */
+std::uint64_t parseVersion(const std::string &text) {
+  std::uint64_t version = 0;
+  const char *const end = text.data() + text.size();
+  const auto [it, ec] = std::from_chars(text.data(), end, version);
+  return ec == std::errc() && it == end
+             ? version
+             : std::numeric_limits<std::uint64_t>::max();
+}
+
 std::string formatLoad(const LoadReport &load) {
   std::ostringstream text;
   text << load.inFlight << " " << load.limit << " " << load.latencyUs << " "
@@ -73,6 +85,8 @@
         headerOf(original, headers::FreshConnection) == "1";
     dispatchRequest.priority =
         parsePriority(headerOf(original, headers::Priority));
+    dispatchRequest.version =
+        parseVersion(headerOf(original, headers::Version));
     if (const auto wait =
             parseTimeout(headerOf(original, headers::MaxColdWaitMs)))
       dispatchRequest.maxColdWait = *wait;
--- a/src/node/GateCall.h
+++ b/src/node/GateCall.h
@@ -34,6 +34,8 @@
   unsigned priority = 0;
   /** Longest wait in the queue of a cold target; see GateRequest. */
   std::chrono::milliseconds maxColdWait = std::chrono::milliseconds::max();
+  /** The configuration version that the ingress runs the call by. */
+  std::uint64_t version = 0;
 };
 
 /** The target has sent the head of its answer. */
@@ -94,6 +96,8 @@
   void cancel() override;
 
   CallId id() const { return callId; }
+  /** The configuration version that the call is run by. */
+  std::uint64_t version() const { return dispatchRequest.version; }
 
 private:
   enum class State : std::uint8_t { Waiting, Sent, Answered, Ended };
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -49,6 +49,11 @@
     call->refuse(Refusal::Quarantined);
     return call;
   }
+  if (configuration.isTooOld(call->version())) {
+    services.metrics.add("gate_refused_total", R"(reason="outdated")");
+    call->refuse(Refusal::Outdated);
+    return call;
+  }
   const Admission admission = gate.admit(gateRequest, now);
   switch (admission.kind) {
   case Admission::Kind::Admitted:
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -46,6 +46,10 @@
 void IngressCall::begin() {
   request = makeRequest();
   task.gate.onIngressCall(request->id);
+  if (task.configuration.isOutdated()) {
+    lookUpRule();
+    return;
+  }
   findRule();
   if (rule != nullptr)
     admit();
@@ -53,11 +57,65 @@
     onNoRule();
 }
 
-void IngressCall::findRule() {
-  const std::string host =
+std::string IngressCall::host() const {
+  const std::string name =
       findHeader(request->headers, "Host").value_or(std::string());
-  rule = configuration->findService(
-      std::string_view(host).substr(0, host.find(':')), request->path());
+  return name.substr(0, name.find(':'));
+}
+
+void IngressCall::findRule() {
+  version = configuration->head().version;
+  rule = configuration->findService(host(), request->path());
+}
+
+void IngressCall::lookUpRule() {
+  const CallPtr self(this);
+  incoming->onGone([self] {
+    self->isCallerDisconnected = true;
+    self->end();
+  });
+  task.configuration.lookUpRule(
+      host(), std::string(request->path()),
+      [self](std::optional<RuleLookup::Result> result) {
+        self->onRuleLookedUp(std::move(result));
+      });
+}
+
+void IngressCall::onRuleLookedUp(std::optional<RuleLookup::Result> result) {
+  if (isEnded)
+    return;
+  configuration = task.configuration.current();
+  if (!task.configuration.isOutdated()) {
+    findRule();
+    if (rule != nullptr)
+      admit();
+    else
+      onNoRule();
+    return;
+  }
+  if (!result) {
+    sendLocalAnswer({httpStatus::ServiceUnavailable, Outcome::NotRun,
+                     "configuration-outdated", CallDecision::RetryAfter});
+    return;
+  }
+  foreignRule = new SharedServiceRule(std::move(result->rule));
+  rule = &foreignRule->rule;
+  version = result->version;
+  admit();
+}
+
+void IngressCall::updateVersion() {
+  const ConfigurationPtr current = task.configuration.current();
+  if (current->head().version <= version)
+    return;
+  const ServiceRule *const now = current->findService(host(), request->path());
+  const bool isSame =
+      now != nullptr && now->name == rule->name &&
+      (now->trafficSplit.empty() ||
+       std::ranges::find(now->trafficSplit, service,
+                         &WeightedService::service) != now->trafficSplit.end());
+  if (isSame)
+    version = current->head().version;
 }
 
 void IngressCall::onNoRule() {
@@ -218,7 +276,9 @@
     onCallerDisconnected();
     return;
   }
-  const auto picked = task.pick(*configuration, service, decision->tried());
+  updateVersion();
+  const auto picked =
+      task.pick(*task.configuration.current(), service, decision->tried());
   if (!picked) {
     perform(decision->onNoCandidate());
     return;
@@ -253,7 +313,8 @@
   DispatchRequest dispatchRequest{request,        service,
                                   fingerprint,    deadline,
                                   mayQueue,       isClaimHeld || isIsolated,
-                                  rule->priority, maxColdWaitOf(*rule)};
+                                  rule->priority, maxColdWaitOf(*rule),
+                                  version};
   const CallPtr self(this);
   auto receiver = [self, hasResult,
                    target = candidate.peersAddress](DispatchResult result) {
@@ -263,8 +324,7 @@
   if (candidate.isLocalNode)
     return task.gate.dispatch(std::move(dispatchRequest), std::move(receiver));
   return RemoteDispatch::start(task.services, task.measure, candidate,
-                               dispatchRequest, configuration->head().version,
-                               std::move(receiver));
+                               dispatchRequest, std::move(receiver));
 }
 
 void IngressCall::onResult(const Address &target, DispatchResult result) {
@@ -279,6 +339,9 @@
     const bool isUnreachable = refused->refusal == Refusal::NotConnected;
     const Attempt attempt = endAttempt(target, isUnreachable);
     logFailedAttempt(target, attempt.loadAtPick, toString(refused->refusal));
+    if (refused->refusal == Refusal::Outdated &&
+        target != task.services.settings.peers)
+      task.configuration.onOutdatedAt(target);
     perform(decision->onRefused(target, refused->refusal, now));
     return;
   }
@@ -491,7 +554,7 @@
        {"service", service},
        {"status", status},
        {"reason", reason},
-       {"version", configuration->head().version},
+       {"version", version},
        {"confirmedMsAgo", confirmationAge(now).count()},
        {"targets", decision ? decision->tried().size() : 0},
        {"ms", std::chrono::floor<Milliseconds>(now - arrivedAt).count()}});
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -36,6 +36,11 @@
   IncomingCallPtr incoming;
   std::function<void()> onDone;
   ConfigurationPtr configuration;
+  /** The version that the call is run by: that of the configuration, or a newer
+   * one that another node has. */
+  std::uint64_t version = 0;
+  /** Set if the rule was found at another node. */
+  ServiceRulePtr foreignRule;
   /** Null if no rule matches the request. */
   const ServiceRule *rule = nullptr;
   /** Destination chosen from the rule's traffic split, or the rule's own name.
@@ -74,6 +79,14 @@
 
   void begin();
   void findRule();
+  /** Finds the rule at a node that has a newer version. */
+  void lookUpRule();
+  void onRuleLookedUp(std::optional<RuleLookup::Result> result);
+  /** Runs the call by a version that has come into force meanwhile, if that has
+   * the same rule for it. */
+  void updateVersion();
+  /** The host that the request names, without a port. */
+  std::string host() const;
   /** Denies the call only if the configuration is known to be the newest. */
   void onNoRule();
   void onFreshnessChecked(bool isNewest);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -83,6 +83,10 @@
   listeners.configuration = [this](const ConfigurationRequest &request) {
     return configuration->answer(request);
   };
+  listeners.compactConfiguration =
+      [this](const CompactConfigurationRequest &request) {
+        return configuration->answer(request);
+      };
   listeners.offer = [this](const ConfigurationOffer &offer) {
     configuration->onOffered(offer);
   };
--- a/src/node/PeerTask.cpp
+++ b/src/node/PeerTask.cpp
@@ -270,6 +270,11 @@
       listeners.offer(*offer);
     return PushReply{};
   }
+  if (const auto *const compact =
+          std::get_if<CompactConfigurationRequest>(&body))
+    return listeners.compactConfiguration
+               ? listeners.compactConfiguration(*compact)
+               : PushReply{};
   if (!listeners.configuration)
     return ConfigurationReply{};
   return listeners.configuration(std::get<ConfigurationRequest>(body));
--- a/src/node/PeerTask.h
+++ b/src/node/PeerTask.h
@@ -39,6 +39,9 @@
         configurationVersion;
     /** Returns the reply to a peer's request for the configuration. */
     std::function<BulkReplyBody(const ConfigurationRequest &)> configuration;
+    /** The same for a peer that takes compressed updates. */
+    std::function<BulkReplyBody(const CompactConfigurationRequest &)>
+        compactConfiguration;
     /** Called with an accepted version that an operator's command offers. */
     std::function<void(const ConfigurationOffer &)> offer;
     /** Called with the changes of members. */
--- a/src/node/RemoteDispatch.cpp
+++ b/src/node/RemoteDispatch.cpp
@@ -22,8 +22,7 @@
 }
 
 HeaderList makeHeaders(NodeServices &services, const Candidate &candidate,
-                       const DispatchRequest &dispatchRequest,
-                       std::uint64_t version) {
+                       const DispatchRequest &dispatchRequest) {
   ForwardProofFields proofFields;
   proofFields.service = dispatchRequest.service;
   proofFields.time = services.stamp();
@@ -38,7 +37,7 @@
                   {headers::FreshConnection,
                    dispatchRequest.needsFreshConnection ? "1" : "0"},
                   {headers::Priority, std::to_string(dispatchRequest.priority)},
-                  {headers::Version, std::to_string(version)},
+                  {headers::Version, std::to_string(dispatchRequest.version)},
                   {headers::Proof,
                    makeForwardProof(services.settings.key,
                                     *dispatchRequest.request, proofFields)}};
@@ -62,13 +61,12 @@
                                       MeasureTask &measure,
                                       const Candidate &candidate,
                                       const DispatchRequest &dispatchRequest,
-                                      std::uint64_t version,
                                       GateCall::Receiver receiver) {
   const boost::intrusive_ptr<RemoteDispatch> self(new RemoteDispatch(
       services, measure, candidate.peersAddress, std::move(receiver)));
   const ExchangeOptions options{
       candidate.callersAddress,
-      makeHeaders(services, candidate, dispatchRequest, version),
+      makeHeaders(services, candidate, dispatchRequest),
       dispatchRequest.needsFreshConnection};
   self->exchange = Exchange::start(
       services.session.get(), *dispatchRequest.request, options,
--- a/src/node/RemoteDispatch.h
+++ b/src/node/RemoteDispatch.h
@@ -15,15 +15,13 @@
  * those of the local gate. Not thread-safe: main loop only. */
 class RemoteDispatch : public AnswerSource {
 public:
-  /** Sends the call to the node of \p candidate. \param version is the
-   * configuration version that is sent to the other node. \param receiver is
+  /** Sends the call to the node of \p candidate. \param receiver is
    * called once, after this has returned, unless the attempt is cancelled
    * first. \return the answer body, to be read after a DispatchAnswer. \pre
    * \p services and \p measure outlive the attempt. */
   static AnswerSourcePtr start(NodeServices &services, MeasureTask &measure,
                                const Candidate &candidate,
                                const DispatchRequest &dispatchRequest,
-                               std::uint64_t version,
                                GateCall::Receiver receiver);
 
   void read(ChunkReceiver receiver) override {
--- a/src/node/StatusTask.cpp
+++ b/src/node/StatusTask.cpp
@@ -111,6 +111,8 @@
               {"version", head.version},
               {"digest", head.digest},
               {"applyId", head.applyId},
+              {"newestHeard", configuration.heardVersions().newest()},
+              {"outdated", configuration.isOutdated()},
               {"storeUp", configuration.isStoreUp()},
               {"present", peers.membership().presentCount()},
               {"gate", makeGate()},
--- a/src/process/ConfigurationReplica.h
+++ b/src/process/ConfigurationReplica.h
@@ -60,7 +60,7 @@
   /** Deltas kept for peers that lag behind. */
   static constexpr std::size_t MaxDeltas = 64;
   /** Upper bound of the text in the deltas that are kept. */
-  static constexpr std::size_t MaxDeltaBytes = 64UL * 1024;
+  static constexpr std::size_t MaxDeltaBytes = 512UL * 1024;
 
   /** Parses a text and checks it against its head. May take what has not
    * changed from \p previous, the active version. */
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -31,7 +31,8 @@
     RefusalName{Refusal::Stale, "stale"},
     RefusalName{Refusal::WrongTarget, "wrong-target"},
     RefusalName{Refusal::ColdRate, "cold-rate"},
-    RefusalName{Refusal::Displaced, "displaced"}};
+    RefusalName{Refusal::Displaced, "displaced"},
+    RefusalName{Refusal::Outdated, "outdated"}};
 
 } // namespace
 
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -41,7 +41,9 @@
   Stale,
   WrongTarget,
   ColdRate,
-  Displaced
+  Displaced,
+  /** The call is run by a version that is known to be too old. */
+  Outdated
 };
 
 /** The name of a refusal in answers, events and metrics, such as
--- a/src/process/Message.h
+++ b/src/process/Message.h
@@ -157,11 +157,36 @@
   }
 };
 
+/** Asks for the rule that a call with this host and path is run by, at a node
+ * that has a newer version than the sender. Answered by a RuleAnswer. */
+struct RuleQuery {
+  std::uint64_t nonce = 0;
+  /** The receiver answers only if it has this version or a newer one. */
+  std::uint64_t leastVersion = 0;
+  std::string host;
+  std::string path;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(nonce, leastVersion, host, path);
+  }
+};
+
+/** Reply to a RuleQuery, with its nonce. */
+struct RuleAnswer {
+  std::uint64_t nonce = 0;
+  /** The version that the rule is taken from. */
+  std::uint64_t version = 0;
+  /** As encodeRecord() makes it; empty if no rule matches. */
+  std::string record;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(nonce, version, record);
+  }
+};
+
 /** The payload of a datagram. */
 using MessageBody =
     std::variant<Ping, Ack, PingRequest, Gossip, LoadProbe, LoadReport,
                  CrashReport, CrashAck, CrashCleared, CrashQuery, RelayedLoad,
-                 VersionQuery, VersionProof>;
+                 VersionQuery, VersionProof, RuleQuery, RuleAnswer>;
 
 /** Fields common to all messages between nodes. Messages with another protocol
  * number or cluster name are dropped. */
--- a/test/correctness/ProcessStateTest.cpp
+++ b/test/correctness/ProcessStateTest.cpp
@@ -3,6 +3,7 @@
 #include "base/HybridClock.h"
 #include "process/EventLog.h"
 #include "process/FreshnessGuard.h"
+#include "process/HeardVersions.h"
 #include "process/MeasureBudget.h"
 #include "process/Metrics.h"
 #include "process/Quarantine.h"
@@ -236,3 +237,49 @@
     window.record(milliseconds(1));
   CHECK(window.p95() == milliseconds(1));
 }
+
+// Guards against a node that serves by a version long after it has heard of a
+// newer one, whichever of several it gets first.
+TEST(ProcessState, VersionIsOutdatedFromTheFirstNewerOneThatWasHeardOf) {
+  const TimePoint start{std::chrono::hours(1)};
+  const Address peer{"127.0.0.1", 1};
+  HeardVersions heard;
+  heard.onInForce(5);
+  CHECK_FALSE(heard.onHeard(4, peer, start));
+  CHECK_FALSE(heard.isOutdated(start + HeardVersions::MaxLag));
+  CHECK(heard.onHeard(6, peer, start));
+  CHECK(heard.onHeard(8, peer, start + HeardVersions::MaxLag / 2));
+  CHECK_FALSE(heard.isOutdated(start));
+  CHECK(heard.isOutdated(start + HeardVersions::MaxLag));
+  heard.onInForce(6);
+  CHECK_FALSE(heard.isOutdated(start + HeardVersions::MaxLag));
+  CHECK(heard.isOutdated(start + HeardVersions::MaxLag * 2));
+  CHECK_EQUAL(8, heard.newest());
+}
+
+// Guards against a node that goes back to its own version after it has run a
+// call by a newer one.
+TEST(ProcessState, VersionIsOutdatedOnceANewerOneWasUsed) {
+  const TimePoint start{std::chrono::hours(1)};
+  HeardVersions heard;
+  heard.onInForce(5);
+  heard.onHeard(6, {"127.0.0.1", 1}, start);
+  heard.onUsed(6);
+  CHECK(heard.isOutdated(start));
+  heard.onInForce(6);
+  CHECK_FALSE(heard.isOutdated(start));
+}
+
+// Guards against a node that rejects calls for good because of a version that
+// was never accepted.
+TEST(ProcessState, ConfirmationEndsTheDoubtOfWhatWasHeardBefore) {
+  const TimePoint start{std::chrono::hours(1)};
+  const TimePoint late = start + HeardVersions::MaxLag * 2;
+  HeardVersions heard;
+  heard.onInForce(5);
+  heard.onHeard(6, {"127.0.0.1", 1}, start);
+  heard.onConfirmed(start - std::chrono::milliseconds(1));
+  CHECK(heard.isOutdated(late));
+  heard.onConfirmed(start);
+  CHECK_FALSE(heard.isOutdated(late));
+}
--- a/test/error/MessageFaultsTest.cpp
+++ b/test/error/MessageFaultsTest.cpp
@@ -1,5 +1,6 @@
 /** \file
  * Forged, damaged and cut messages are dropped. */
+#include "base/Compression.h"
 #include "connection/MessageCodec.h"
 #include "node/parseAnnouncement.h"
 #include "request/ForwardProof.h"
@@ -116,3 +117,15 @@
   bytes.back() = 9;
   CHECK_FALSE(MessageCodec::decodePayload<Message>(bytes).has_value());
 }
+
+// Guards against a short message that becomes long in memory.
+TEST(MessageFaults, CompressedTextsAreBoundedAndDamageIsFound) {
+  const std::string text(100'000, 'x');
+  const std::string bytes = compress(text);
+  CHECK(bytes.size() < text.size() / 10);
+  CHECK(decompress(bytes, text.size()) == text);
+  CHECK_FALSE(decompress(bytes, text.size() - 1).has_value());
+  CHECK_FALSE(decompress(bytes + "x", text.size()).has_value());
+  for (std::size_t n = 0; n < bytes.size(); ++n)
+    CHECK_FALSE(decompress(bytes.substr(0, n), text.size()).has_value());
+}
