--- a/test/correctness/ReactorTest.cpp
+++ b/test/correctness/ReactorTest.cpp
@@ -1,13 +1,20 @@
 /** \file
  * Sockets that become ready in one turn and close one another. */
 #include "connection/Reactor.h"
+#include "connection/ListeningSocket.h"
+#include "operator/MainLoop.h"
+#include "support/Fleet.h"
 
 #include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
+#include <vector>
 
 using namespace plantainhatch;
 
@@ -96,3 +103,37 @@
   while (later.calls == 0)
     g_main_context_iteration(nullptr, TRUE);
 }
+
+// Guards against a main loop that wakes without end for a connection that
+// cannot be accepted, as no descriptor is left.
+TEST(Reactor, ConnectionWithoutADescriptorLeftIsClosed) {
+  constexpr rlim_t Descriptors = 128;
+  const Address address = test::freeAddress();
+  const auto listening =
+      ListeningSocket::listen(address, "test", [](StreamSocket /*it*/) {});
+  CHECK(listening.has_value());
+  const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const rlimit low{Descriptors, before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &low);
+  std::vector<int> taken;
+  for (int fd = dup(client); fd >= 0; fd = dup(client))
+    taken.push_back(fd);
+  sockaddr_in storage{};
+  storage.sin_family = AF_INET;
+  storage.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.host.c_str(), &storage.sin_addr);
+  const int connected = connect(
+      client, reinterpret_cast<const sockaddr *>(&storage), sizeof(storage));
+  pause(std::chrono::milliseconds(50));
+  char c = 0;
+  const auto n = recv(client, &c, 1, MSG_DONTWAIT);
+  const bool isClosed = n == 0 || (n < 0 && errno == ECONNRESET);
+  for (const int fd : taken)
+    close(fd);
+  setrlimit(RLIMIT_NOFILE, &before);
+  close(client);
+  CHECK_EQUAL(0, connected);
+  CHECK(isClosed);
+}
--- a/test/platform/BytesWithoutEndTest.cpp
+++ b/test/platform/BytesWithoutEndTest.cpp
@@ -1,5 +1,6 @@
 /** \file
  * Bytes that do not end, towards a real node, while it serves other calls. */
+#include "connection/ServerConnection.h"
 #include "operator/MainLoop.h"
 #include "platform/SiteFixture.h"
 #include "platform/StoreClient.h"
@@ -89,6 +90,14 @@
       queued.erase(0, static_cast<std::size_t>(n));
   }
 
+  /** What can be read at once; empty if nothing can. */
+  std::string receive() {
+    std::string buf(1'024, ' ');
+    const auto n = recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
+    buf.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+    return buf;
+  }
+
 private:
   int fd;
   std::string queued;
@@ -239,3 +248,20 @@
   CHECK(Fleet::waitUntil([&] { return read.has_value(); }, seconds(4)));
   CHECK(read->result == StoreResult::Unknown);
 }
+
+// Guards against connections that are held for good by heads that come byte by
+// byte.
+TEST(BytesWithoutEnd, OfAHeadThatDoesNotArriveInTimeEndItsConnection) {
+  CHECK(site.start());
+  RawConnection caller(site.machines[0]->callers);
+  caller.send("GET /read/x HTTP/1.1\r\nHost: ");
+  std::string answer;
+  CHECK(Fleet::waitUntil(
+      [&] {
+        caller.send("h");
+        answer += caller.receive();
+        return !answer.empty();
+      },
+      ServerConnection::MaxHeadTime + seconds(2)));
+  CHECK(answer.starts_with("HTTP/1.1 408 "));
+}
