--- a/test/correctness/ReactorTest.cpp
+++ b/test/correctness/ReactorTest.cpp
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -113,12 +114,16 @@
       ListeningSocket::listen(address, "test", [](StreamSocket /*it*/) {});
   CHECK(listening.has_value());
   const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (client < 0) {
+    FAIL("no socket can be made");
+    return;
+  }
   rlimit before{};
   getrlimit(RLIMIT_NOFILE, &before);
   const rlimit low{Descriptors, before.rlim_max};
   setrlimit(RLIMIT_NOFILE, &low);
   std::vector<int> taken;
-  for (int fd = dup(client); fd >= 0; fd = dup(client))
+  for (int fd = eventfd(0, 0); fd >= 0; fd = eventfd(0, 0))
     taken.push_back(fd);
   sockaddr_in storage{};
   storage.sin_family = AF_INET;
