--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -214,7 +214,6 @@
   /** \return false if the reply holds nothing about the configuration. */
   bool takeReply(const Address &peer, const BulkReplyBody &body,
                  TimePoint askedAt);
-  void adoptUpdate(const Address &peer, const ConfigurationUpdate &update);
   void onRuleQuery(const Address &sender, const RuleQuery &query);
   /** Asks for an update that \p peer has found too long: the external source,
    * or \p peer again if that does not answer. */
