--- a/review/standins/Site.cpp
+++ b/review/standins/Site.cpp
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -248,6 +249,8 @@
   pid = fork();
   if (pid != 0)
     return;
+  // It ends also where this process is ended from outside.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   if (out < 0)
     _exit(127);
