--- a/review/standins/Http.cpp
+++ b/review/standins/Http.cpp
@@ -134,14 +134,22 @@
 } // namespace
 
 Address freeAddress(const std::string &host) {
-  const int fd = openSocket();
-  sockaddr_in native = toNative({host, 0});
-  socklen_t size = sizeof(native);
-  if (bind(fd, reinterpret_cast<sockaddr *>(&native), size) != 0 ||
-      getsockname(fd, reinterpret_cast<sockaddr *>(&native), &size) != 0)
-    throw std::runtime_error("no free port at " + host);
-  close(fd);
-  return {host, ntohs(native.sin_port)};
+  // The system may name a port twice, as nobody listens there yet.
+  static std::set<std::string> given;
+  while (true) {
+    const int fd = openSocket();
+    sockaddr_in native = toNative({host, 0});
+    socklen_t size = sizeof(native);
+    const bool isBound =
+        bind(fd, reinterpret_cast<sockaddr *>(&native), size) == 0 &&
+        getsockname(fd, reinterpret_cast<sockaddr *>(&native), &size) == 0;
+    close(fd);
+    if (!isBound)
+      throw std::runtime_error("no free port at " + host);
+    Address address{host, ntohs(native.sin_port)};
+    if (given.insert(address.text()).second)
+      return address;
+  }
 }
 
 std::string headerOf(const Headers &headers, const std::string &name) {
