Acknowledge a departure only once it outlasts the process

Callers saw requests run by a worker whose leaving had been acknowledged: its node was killed and started, and a heartbeat that the worker had sent before it left came late. Some were cut when the worker ended.

Cause: what a target had said of its leaving was kept in the memory of one process. A departure that came before a restarted node knew the instance was acknowledged without any effect at all, and so was one that reached another node or named another VM.

Change: DepartureTask copies each departure to a row of the store, and to three other nodes for when the store is away. A process that is told of its first target reads the copies before it uses it. A departure of a worker of another node is refused with 409. The native interface does the same. Both sources are needed: the store outlives all nodes, and nodes answer while the store is away.

Tests: the heartbeat filter no longer keeps departures itself, so its test adds one to the list that the filter is given; what it checks is the same.

--- a/src/connection/BulkMessage.h
+++ b/src/connection/BulkMessage.h
@@ -4,6 +4,7 @@
 #define PLANTAINHATCH_CONNECTION_BULKMESSAGE_H
 
 #include "process/ConfigurationReplica.h"
+#include "process/DepartureList.h"
 #include "process/Membership.h"
 #include "process/Message.h"
 
@@ -64,6 +65,20 @@
   }
 };
 
+/** The departures of the sender's targets, for the receiver to keep. */
+struct DepartureNotice {
+  std::vector<Departure> departures;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(departures);
+  }
+};
+
+/** Asks for the departures that an earlier process at the sender's address has
+ * given to the receiver. */
+struct DepartureQuery {
+  template <typename Archive> void serialize(Archive & /*archive*/) {}
+};
+
 /** Answers a SyncRequest. */
 struct SyncReply {
   BucketDigests digests{};
@@ -90,17 +105,26 @@
   }
 };
 
-/** Answers a SyncPush and a ConfigurationOffer, and a request for a
- * configuration about which the node can say nothing. */
+/** Answers a DepartureQuery. */
+struct DepartureReply {
+  std::vector<Departure> departures;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(departures);
+  }
+};
+
+/** Answers a SyncPush, a ConfigurationOffer and a DepartureNotice, and a
+ * request for a configuration about which the node can say nothing. */
 struct PushReply {
   template <typename Archive> void serialize(Archive & /*archive*/) {}
 };
 
 using BulkRequestBody =
     std::variant<SyncRequest, SyncPush, ConfigurationRequest,
-                 ConfigurationOffer, CompactConfigurationRequest>;
+                 ConfigurationOffer, CompactConfigurationRequest,
+                 DepartureNotice, DepartureQuery>;
 using BulkReplyBody = std::variant<SyncReply, PushReply, ConfigurationReply,
-                                   CompactConfigurationReply>;
+                                   CompactConfigurationReply, DepartureReply>;
 
 /** A request. The nonce comes back in the reply, so that a recorded reply is of
  * no use. */
--- a/src/node/AnnounceTask.cpp
+++ b/src/node/AnnounceTask.cpp
@@ -36,14 +36,17 @@
 } // namespace
 
 Checked<std::unique_ptr<AnnounceTask>>
-AnnounceTask::start(NodeServices &services, GateTask &gate) {
-  std::unique_ptr<AnnounceTask> task(new AnnounceTask(services, gate));
+AnnounceTask::start(NodeServices &services, GateTask &gate,
+                    DepartureTask &departures) {
+  std::unique_ptr<AnnounceTask> task(
+      new AnnounceTask(services, gate, departures));
   auto server = HttpServer::listen(
       services.settings.targets, "targets",
       [raw = task.get()](const IncomingCallPtr &call) { raw->serve(call); });
   if (!server)
     return std::move(server).error();
   task->server = std::move(server).value();
+  departures.onLateDeparture([raw = task.get()] { raw->closeToDeparted(); });
   return task;
 }
 
@@ -90,20 +93,45 @@
                    current.address.toString() + ", which has not left");
     return;
   }
-  gate.announce(target.value());
-  replyJson(call, httpStatus::Ok,
-            {{"renewWithinMs", GateTask::RenewalInterval.count()}});
+  departures.whenRestored([this, call, announced = target.value()] {
+    gate.announce(announced);
+    closeToDeparted();
+    replyJson(call, httpStatus::Ok,
+              {{"renewWithinMs", GateTask::RenewalInterval.count()}});
+  });
+}
+
+void AnnounceTask::closeToDeparted() {
+  const std::string &bootId = gate.state().target().bootId;
+  if (departures.contains(bootId, WallTime{}))
+    gate.leave(bootId);
 }
 
 void AnnounceTask::leave(const IncomingCallPtr &call) {
   const auto bootId = parseLeave(call->request().body);
-  if (!bootId)
+  if (!bootId) {
     replyError(call, httpStatus::BadRequest, bootId.error());
-  else if (!gate.leave(bootId.value()))
+    return;
+  }
+  // A node that has just started may not have heard of its target.
+  const Target &current = gate.state().target();
+  const bool isOther =
+      current.state != TargetState::Absent && current.bootId != bootId.value();
+  if (isOther) {
     replyError(call, httpStatus::Conflict,
                "the target of this node has a different bootId");
-  else
-    replyJson(call, httpStatus::Ok, {{"inFlight", gate.state().inFlight()}});
+    return;
+  }
+  gate.leave(bootId.value());
+  departures.record({bootId.value(), WallTime::max()}, [this,
+                                                        call](bool isRecorded) {
+    if (isRecorded)
+      replyJson(call, httpStatus::Ok, {{"inFlight", gate.state().inFlight()}});
+    else
+      replyError(call, httpStatus::ServiceUnavailable,
+                 "the leave is in force at this node, but neither the "
+                 "store nor another node could record it; send it again");
+  });
 }
 
 } // namespace plantainhatch
--- a/src/node/AnnounceTask.h
+++ b/src/node/AnnounceTask.h
@@ -4,6 +4,7 @@
 #define PLANTAINHATCH_NODE_ANNOUNCETASK_H
 
 #include "connection/HttpServer.h"
+#include "node/DepartureTask.h"
 #include "node/GateTask.h"
 #include "node/NodeServices.h"
 
@@ -17,19 +18,23 @@
 public:
   /** Binds the address and serves it. \return the task, or findings if the
    * address cannot be used. */
-  static Checked<std::unique_ptr<AnnounceTask>> start(NodeServices &services,
-                                                      GateTask &gate);
+  static Checked<std::unique_ptr<AnnounceTask>>
+  start(NodeServices &services, GateTask &gate, DepartureTask &departures);
 
 private:
   NodeServices &services;
   GateTask &gate;
+  DepartureTask &departures;
   std::unique_ptr<HttpServer> server;
 
-  AnnounceTask(NodeServices &services, GateTask &gate)
-      : services(services), gate(gate) {}
+  AnnounceTask(NodeServices &services, GateTask &gate,
+               DepartureTask &departures)
+      : services(services), gate(gate), departures(departures) {}
 
   void serve(const IncomingCallPtr &call);
   void announce(const IncomingCallPtr &call);
+  /** Closes the gate if its target is known to have left. */
+  void closeToDeparted();
   void leave(const IncomingCallPtr &call);
 };
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -55,6 +55,7 @@
 
 void Node::makeTasks(AnyPickPolicy policy,
                      ConfigurationReplica::Builder builder) {
+  departures = std::make_unique<DepartureTask>(services, *peers);
   configuration =
       std::make_unique<ConfigurationTask>(services, *peers, std::move(builder));
   crashes = std::make_unique<CrashTask>(services, *peers, *configuration);
@@ -90,6 +91,13 @@
   listeners.offer = [this](const ConfigurationOffer &offer) {
     configuration->onOffered(offer);
   };
+  listeners.departureNotice = [this](const Address &sender,
+                                     const DepartureNotice &notice) {
+    departures->keepFor(sender, notice);
+  };
+  listeners.departureQuery = [this](const Address &sender) {
+    return departures->answer(sender);
+  };
   peers->setListeners(std::move(listeners));
   configuration->addAdoptionListener(
       [this](const ConfigurationPtr & /*before*/) {
@@ -124,7 +132,7 @@
       return std::move(server).error();
     forwards = std::move(server).value();
   } else {
-    auto targets = AnnounceTask::start(services, *gate);
+    auto targets = AnnounceTask::start(services, *gate, *departures);
     if (!targets)
       return std::move(targets).error();
     announcements = std::move(targets).value();
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -7,6 +7,7 @@
 #include "connection/HttpServer.h"
 #include "node/AnnounceTask.h"
 #include "node/ArchiveTask.h"
+#include "node/DepartureTask.h"
 #include "node/IngressTask.h"
 #include "node/SeedTask.h"
 #include "node/StatusTask.h"
@@ -65,6 +66,8 @@
   NodeServices &nodeServices() { return services; }
   GateTask &gateTask() { return *gate; }
   ConfigurationTask &configurationTask() { return *configuration; }
+  PeerTask &peerTask() { return *peers; }
+  DepartureTask &departureTask() { return *departures; }
   StatusTask &statusTask() { return *status; }
 
   /** Stops gracefully: admits no new calls to its target, lets calls in
@@ -75,6 +78,7 @@
 private:
   NodeServices services;
   std::unique_ptr<PeerTask> peers;
+  std::unique_ptr<DepartureTask> departures;
   std::unique_ptr<ConfigurationTask> configuration;
   std::unique_ptr<CrashTask> crashes;
   std::unique_ptr<GateTask> gate;
--- a/src/node/PeerTask.cpp
+++ b/src/node/PeerTask.cpp
@@ -248,7 +248,7 @@
   }
   if (!isAcceptable(request->header))
     return std::nullopt;
-  BulkReplyBody body = answerBody(request->body);
+  BulkReplyBody body = answerBody(request->header.sender, request->body);
   publishChanges();
   std::string bytes = services.codec.encode(
       BulkReply{makeHeader(), request->nonce, std::move(body)});
@@ -257,7 +257,8 @@
   return bytes;
 }
 
-BulkReplyBody PeerTask::answerBody(const BulkRequestBody &body) {
+BulkReplyBody PeerTask::answerBody(const Address &sender,
+                                   const BulkRequestBody &body) {
   if (const auto *const sync = std::get_if<SyncRequest>(&body))
     return SyncReply{members.digests(),
                      members.membersThatDiffer(sync->digests)};
@@ -275,6 +276,14 @@
     return listeners.compactConfiguration
                ? listeners.compactConfiguration(*compact)
                : PushReply{};
+  if (const auto *const notice = std::get_if<DepartureNotice>(&body)) {
+    if (listeners.departureNotice)
+      listeners.departureNotice(sender, *notice);
+    return PushReply{};
+  }
+  if (std::holds_alternative<DepartureQuery>(body))
+    return listeners.departureQuery ? listeners.departureQuery(sender)
+                                    : DepartureReply{};
   if (!listeners.configuration)
     return ConfigurationReply{};
   return listeners.configuration(std::get<ConfigurationRequest>(body));
--- a/src/node/PeerTask.h
+++ b/src/node/PeerTask.h
@@ -44,6 +44,13 @@
         compactConfiguration;
     /** Called with an accepted version that an operator's command offers. */
     std::function<void(const ConfigurationOffer &)> offer;
+    /** Called with departures that the node at this peers address gives to
+     * keep. */
+    std::function<void(const Address &, const DepartureNotice &)>
+        departureNotice;
+    /** Returns the departures that are kept for the node at this peers address.
+     */
+    std::function<DepartureReply(const Address &)> departureQuery;
     /** Called with the changes of members. */
     std::function<void(const std::vector<MemberChange> &)> members;
   };
@@ -124,7 +131,7 @@
   void syncWith(const Address &peer);
   void receive(std::string_view bytes);
   std::optional<std::string> answer(const std::string &frame);
-  BulkReplyBody answerBody(const BulkRequestBody &body);
+  BulkReplyBody answerBody(const Address &sender, const BulkRequestBody &body);
   void sendAll(const std::vector<OutgoingMessage> &outgoing);
   void joinUnknownSender(const Address &sender);
   void publishVersion(const MessageHeader &header);
--- a/src/process/Rendezvous.cpp
+++ b/src/process/Rendezvous.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <set>
 
 namespace plantainhatch {
 
@@ -47,4 +48,28 @@
   return selected;
 }
 
+std::vector<Address> findSpread(const Membership &membership,
+                                std::string_view task, std::size_t count) {
+  struct Candidate {
+    std::uint64_t weight = 0;
+    const Member *member = nullptr;
+    bool isFirstOfDomain = false;
+  };
+  std::vector<Candidate> candidates;
+  for (const Member &member : membership.others() | std::views::values)
+    if (member.liveness == Liveness::Alive)
+      candidates.push_back({weightOf(member.peersAddress, task), &member});
+  std::ranges::sort(candidates, std::ranges::greater{}, &Candidate::weight);
+  std::set<std::string> domains;
+  for (Candidate &it : candidates)
+    it.isFirstOfDomain = domains.insert(it.member->failureDomain).second;
+  std::ranges::stable_partition(candidates, std::identity{},
+                                &Candidate::isFirstOfDomain);
+  std::vector<Address> selected;
+  std::ranges::transform(
+      candidates | std::views::take(count), std::back_inserter(selected),
+      [](const Candidate &it) { return it.member->peersAddress; });
+  return selected;
+}
+
 } // namespace plantainhatch
--- a/src/process/Rendezvous.h
+++ b/src/process/Rendezvous.h
@@ -7,6 +7,7 @@
 #include "process/Membership.h"
 
 #include <string_view>
+#include <vector>
 
 namespace plantainhatch {
 
@@ -22,6 +23,12 @@
  * isSelectedFor(). Has no side effects. */
 Address findSelected(const Membership &membership, std::string_view task);
 
+/** The peers addresses of \p count other live members with the highest hash for
+ * \p task, from as many failure domains as possible; fewer if there are not as
+ * many. Views may differ, as for isSelectedFor(). Has no side effects. */
+std::vector<Address> findSpread(const Membership &membership,
+                                std::string_view task, std::size_t count);
+
 } // namespace plantainhatch
 
 #endif
--- a/test/fault/MovesAndStopsTest.cpp
+++ b/test/fault/MovesAndStopsTest.cpp
@@ -307,3 +307,32 @@
     CHECK_EQUAL(0, fleet.targetStats(vm).at("overruns").get<int>());
   }
 }
+
+// Guards against a target that is used again after its leaving was
+// acknowledged, as its node was killed and an earlier announcement came late.
+TEST(MovesAndStops, TargetThatLeftIsNotUsedAfterARestartAndALateAnnouncement) {
+  Fleet fleet(makePlan(2, 1));
+  CHECK(fleet.start());
+  const std::size_t vm = 0;
+  const std::string bootId =
+      fleet.status(vm).at("gate").at("bootId").get<std::string>();
+  const json late{{"service", fleet.vms[vm]->plan.service},
+                  {"address", fleet.vms[vm]->target.toString()},
+                  {"slots", 4},
+                  {"connections", 10},
+                  {"coldSlots", 4},
+                  {"bootId", bootId}};
+  const auto send = [&](const char *path, const json &body) {
+    return fleet.http
+        .send(fleet.vms[vm]->targets, "POST", path, {}, body.dump())
+        .status;
+  };
+  fleet.vms[vm]->targetProcess->kill();
+  CHECK_EQUAL(200, send("/plantainhatch/v1/leave", {{"bootId", bootId}}));
+  fleet.vms[vm]->node->kill();
+  fleet.startNode(vm);
+  CHECK(Fleet::waitUntil([&] { return fleet.status(vm).is_object(); }));
+  CHECK_EQUAL(200, send("/plantainhatch/v1/announce", late));
+  const auto state = fleet.status(vm).at("gate").at("state");
+  STRCMP_EQUAL("leaving", state.get<std::string>().c_str());
+}
--- a/test/platform/AdapterTest.cpp
+++ b/test/platform/AdapterTest.cpp
@@ -83,7 +83,7 @@
                          std::uint64_t sequence) {
   platform::Heartbeat heartbeat;
   heartbeat.target.bootId = name;
-  heartbeat.startedAtMs = startedAtMs;
+  heartbeat.startedAt = WallTime(std::chrono::milliseconds(startedAtMs));
   heartbeat.sequence = sequence;
   return heartbeat;
 }
@@ -155,7 +155,10 @@
   CHECK_FALSE(dialect.readLoad({}).has_value());
 }
 
-TEST_GROUP(Heartbeats) { platform::HeartbeatFilter order; };
+TEST_GROUP(Heartbeats) {
+  DepartureList departures;
+  platform::HeartbeatFilter order{departures};
+};
 
 TEST(Heartbeats, GoodOneNamesATarget) {
   const auto read = platform::parseHeartbeat("i-1", goodHeartbeat().dump());
@@ -253,7 +256,7 @@
 
 TEST(Heartbeats, TargetThatLeftDoesNotComeBackByAnyOfItsHeartbeats) {
   CHECK(order.accept(beat("i-1", 100, 4)));
-  order.markDeparted("i-1");
+  departures.add({"i-1", WallTime(std::chrono::milliseconds(100))});
   CHECK_FALSE(order.accept(beat("i-1", 100, 5)));
   CHECK(order.accept(beat("i-1", 300, 1)));
 }
--- a/test/platform/TargetProbeTest.cpp
+++ b/test/platform/TargetProbeTest.cpp
@@ -58,9 +58,11 @@
   ConfigurationTask configuration{services, *peers,
                                   Configuration::buildFromRecords};
   CrashTask crashes{services, *peers, configuration};
+  DepartureTask departures{services, *peers};
   GateTask gate{services, *peers, configuration, crashes};
   std::unique_ptr<platform::TargetRegistry> registry =
-      std::move(platform::TargetRegistry::start(services, gate, configuration))
+      std::move(platform::TargetRegistry::start(services, gate, configuration,
+                                                *peers, departures))
           .value();
 
   void setup() override {
