Read the grace of a stop in seconds

Callers of a node that was stopped had their connections closed without an answer while workers ran their requests, where the operators' grace_s is a fraction.

Cause: the template wrote "000" behind the figure to turn seconds into milliseconds, so that 6.5 became 6.5000, and the settings' check took 6.5 ms for a time to stop.

With the former template, DeployTemplate.GraceIsReadInEachFormOfANumber has no field to read in seconds; the text that it wrote for 6.5 was 6.5000.

Change: the field is stopGraceSeconds and takes the figure as it is. Less than 0.5 s and more than an hour are refused with the field and the range, and the program ends with code 2.

Result: DeployTemplate.* pass for 6, 6.0, 6.5, 6e0, 0.5, 0.75 and 12.25, and name the field for 0, -6, 0.0065, 6e9, true, null, a string and a list.

--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -52,11 +52,14 @@
                   "has the same address as targets; give it a port of its own");
 }
 
-std::chrono::milliseconds readMilliseconds(SettingsReader &reader,
-                                           const std::string &field) {
-  constexpr double MostMilliseconds = 3'600'000;
-  return std::chrono::milliseconds(static_cast<std::int64_t>(
-      reader.requireNumber(field, 1, MostMilliseconds)));
+std::chrono::milliseconds readSeconds(SettingsReader &reader,
+                                      const std::string &field,
+                                      std::chrono::milliseconds least,
+                                      std::chrono::milliseconds most) {
+  using Seconds = std::chrono::duration<double>;
+  const double seconds = reader.requireNumber(field, Seconds(least).count(),
+                                              Seconds(most).count());
+  return std::chrono::round<std::chrono::milliseconds>(Seconds(seconds));
 }
 
 SiteSettings readSite(SettingsReader &reader) {
@@ -67,7 +70,9 @@
   site.metrics = reader.requireAddress("metrics");
   site.target = reader.requireAddress("target");
   site.service = reader.requireName("service");
-  site.stopGrace = readMilliseconds(reader, "stopGraceMs");
+  site.stopGrace =
+      readSeconds(reader, "stopGraceSeconds", SiteSettings::MinStopGrace,
+                  SiteSettings::MaxStopGrace);
   site.coldOverage = reader.requireNumber("coldOverage", 1, MostRate);
   site.coldSlack = reader.requireNumber("coldSlack", 0, MostRate);
   site.retryRatio = reader.requireNumber("retryRatio", 0, 1);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -17,6 +17,12 @@
 /** How a node fits into a site whose platform has its own interface for
  * callers, targets and operators. Immutable once read. */
 struct SiteSettings {
+  /** A shorter time to stop is taken for a mistake: calls in progress could not
+   * end, and each stop would cut them. */
+  static constexpr std::chrono::milliseconds MinStopGrace{500};
+  /** So is a longer one. */
+  static constexpr std::chrono::milliseconds MaxStopGrace{3'600'000};
+
   /** Calls that other nodes forward. */
   Address forwards;
   /** Whether new callers are welcome. */
--- a/test/platform/SiteFixture.cpp
+++ b/test/platform/SiteFixture.cpp
@@ -248,7 +248,7 @@
                   {"metrics", machine.metrics.toString()},
                   {"target", machine.shownTarget.toString()},
                   {"service", Service},
-                  {"stopGraceMs", 6000},
+                  {"stopGraceSeconds", 6},
                   {"coldOverage", 1.5},
                   {"coldSlack", 5},
                   {"retryRatio", 0.2},
