Report a figure in the settings that no number can hold

A settings file with 1e400 ended the node with an exception, in place of a finding and exit code 2.

Evidence: with the former code "terminate called after throwing nlohmann::out_of_range"; now the file and the number are named, and the exit code is 2. SettingsFaults.FigureThatNoNumberCanHoldIsReported, which ended with the same exception, passes.

--- a/src/base/SettingsReader.cpp
+++ b/src/base/SettingsReader.cpp
@@ -37,6 +37,9 @@
   } catch (const nlohmann::json::parse_error &error) {
     found.push_back(placeOf(fileName, content, error));
     return;
+  } catch (const nlohmann::json::exception &error) {
+    found.push_back({fileName, 0, 0, {}, error.what()});
+    return;
   }
   parsed = object.is_object();
   if (!parsed)
--- a/test/error/SettingsFaultsTest.cpp
+++ b/test/error/SettingsFaultsTest.cpp
@@ -100,6 +100,14 @@
   CHECK_EQUAL(3, broken[0].line);
 }
 
+// Guards against a program that ends by an exception, at its start or while it
+// runs, as a figure in its settings is larger than any number.
+TEST(SettingsFaults, FigureThatNoNumberCanHoldIsReported) {
+  std::string settings = goodSettings().dump();
+  settings.insert(1, R"("colour": 1e400, )");
+  CHECK_FALSE(findingsFor(settings).empty());
+}
+
 TEST(SettingsFaults, ProgramEndsWithCodeTwo) {
   json settings = goodSettings();
   settings["colour"] = "red";
