--- a/test/platform/AdapterTest.cpp
+++ b/test/platform/AdapterTest.cpp
@@ -187,6 +187,20 @@
   CHECK(!platform::parseHeartbeat("i-1", "{").has_value());
 }
 
+// Guards against a worker that is not used, as a figure of its heartbeats is a
+// fraction or is written as one.
+TEST(Heartbeats, FiguresAreReadInEachFormOfANumber) {
+  json body = goodHeartbeat();
+  body["status"]["cold_remaining_ms"] = 812.4;
+  body["information"]["slots"] = 9.0;
+  body["status"]["sequence"] = 4e0;
+  const auto read = platform::parseHeartbeat("i-1", body.dump());
+  CHECK(read.has_value());
+  CHECK_EQUAL(813, read.value().coldTime.count());
+  CHECK_EQUAL(9, read.value().target.slots);
+  CHECK_EQUAL(4, read.value().sequence);
+}
+
 // Guards against a process that ends, or a span of time that overflows, at one
 // odd heartbeat of another writer.
 TEST(Heartbeats, OddOnesNameNoTarget) {
