Take over settings that change while a node runs

Workers were told the former service of a machine as the caller of its requests, after the worker there had ended and its address had gone to a worker of another service.

Cause: settings were read once. SIGHUP checked the file and put it aside, and a change without a signal was not noticed at all.

Change: SettingsWatcher reads the file at SIGHUP and each 200 ms. makeSettingsUpdate decides for each field whether it is taken over or waits for the next start; addresses on which the node listens, its cluster, failure domain and key wait. A missing, half written or faulty file changes nothing and is logged once. The address of the store and all figures of a site were taken once as well and are now followed.

--- a/apps/plantainhatchd/main.cpp
+++ b/apps/plantainhatchd/main.cpp
@@ -1,6 +1,7 @@
 /** \file
  * The node's program: reads settings, runs a node until it is told to stop. */
 #include "node/Node.h"
+#include "node/SettingsWatcher.h"
 #include "platform/Adapter.h"
 
 #include <glib-unix.h>
@@ -32,7 +33,7 @@
   GMainLoop *loop = nullptr;
   /** Stops what runs, and calls its argument when that is done. */
   std::function<void(std::function<void()>)> stop;
-  std::string settingsFile;
+  SettingsWatcher *settings = nullptr;
 };
 
 gboolean onStopSignal(gpointer data) {
@@ -41,17 +42,9 @@
   return G_SOURCE_CONTINUE;
 }
 
-/** Addresses and domain of a VM do not change while its process runs, so a new
- * settings file is checked and takes effect at the next start. */
 gboolean onReloadSignal(gpointer data) {
-  auto *const running = static_cast<Running *>(data);
-  const auto settings = readNodeSettings(running->settingsFile);
-  if (settings)
-    LOG(INFO) << "settings: the file is sound and holds from the next start";
-  else
-    LOG(ERROR) << "settings: the file has faults and the present settings "
-                  "stay in force: "
-               << toString(settings.error());
+  LOG(INFO) << "settings: told to read the file again";
+  static_cast<Running *>(data)->settings->check();
   return G_SOURCE_CONTINUE;
 }
 
@@ -78,14 +71,18 @@
 /** Runs \p started, a node or what drives one, until it is told to stop. */
 template <typename T>
 int runUntilStopped(Checked<std::unique_ptr<T>> started,
-                    const std::string &settingsFile) {
+                    const std::string &settingsFile,
+                    const std::string &settingsContent) {
   if (!started) {
     std::cerr << toString(started.error());
     return ExitUsage;
   }
   const std::unique_ptr<T> subject = std::move(started).value();
+  SettingsWatcher settings(
+      settingsFile, settingsContent,
+      [&subject](const NodeSettings &it) { subject->updateSettings(it); });
   Running running;
-  running.settingsFile = settingsFile;
+  running.settings = &settings;
   running.stop = [&subject](std::function<void()> done) {
     subject->stop(std::move(done));
   };
@@ -93,7 +90,12 @@
 }
 
 int run(const Arguments &arguments) {
-  auto settings = readNodeSettings(arguments.settings);
+  const auto content = readFile(arguments.settings);
+  if (!content) {
+    std::cerr << toString(content.error());
+    return ExitUsage;
+  }
+  auto settings = parseNodeSettings(arguments.settings, content.value());
   if (!settings) {
     std::cerr << toString(settings.error());
     return ExitUsage;
@@ -110,9 +112,9 @@
   if (settings.value().site)
     return runUntilStopped(
         platform::Adapter::start(std::move(settings).value()),
-        arguments.settings);
+        arguments.settings, content.value());
   return runUntilStopped(Node::start(std::move(settings).value(), *policy),
-                         arguments.settings);
+                         arguments.settings, content.value());
 }
 
 } // namespace
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -100,7 +100,12 @@
   auto content = readFile(fileName);
   if (!content)
     return std::move(content).error();
-  SettingsReader reader(fileName, content.value());
+  return parseNodeSettings(fileName, content.value());
+}
+
+Checked<NodeSettings> parseNodeSettings(const std::string &fileName,
+                                        const std::string &content) {
+  SettingsReader reader(fileName, content);
   NodeSettings settings;
   settings.cluster = reader.requireName("cluster");
   settings.failureDomain = reader.requireName("failureDomain");
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -47,7 +47,7 @@
   double probesPerSecond = 0;
 };
 
-/** What one node is told at its start. Immutable once read. */
+/** What one node is told. Immutable once read. */
 struct NodeSettings {
   std::string cluster;
   std::string failureDomain;
@@ -92,6 +92,10 @@
  * \return the settings, or every fault with its field. */
 Checked<NodeSettings> readNodeSettings(const std::string &fileName);
 
+/** The same for content that was read from \p fileName before. */
+Checked<NodeSettings> parseNodeSettings(const std::string &fileName,
+                                        const std::string &content);
+
 /** Reads and checks the operators' settings.
  * \return the settings, or every fault with its field. */
 Checked<OperatorSettings> readOperatorSettings(const std::string &fileName);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -70,6 +70,11 @@
   DepartureTask &departureTask() { return *departures; }
   StatusTask &statusTask() { return *status; }
 
+  /** Takes over what can change while the node runs. */
+  void updateSettings(const NodeSettings &settings) {
+    services.updateSettings(settings);
+  }
+
   /** Stops gracefully: admits no new calls to its target, lets calls in
    * progress end, saves the events (not in site mode), and calls \p done once.
    * Later calls of this function have no effect. */
--- a/src/node/NodeServices.cpp
+++ b/src/node/NodeServices.cpp
@@ -24,11 +24,18 @@
          std::chrono::nanoseconds(time.tv_nsec);
 }
 
+std::string join(const std::vector<std::string> &names) {
+  std::string text;
+  for (const std::string &name : names)
+    text += (text.empty() ? "" : ", ") + name;
+  return text.empty() ? "none" : text;
+}
+
 } // namespace
 
 NodeServices::NodeServices(NodeSettings nodeSettings,
                            CallProtocol nodeCallProtocol)
-    : settings(std::move(nodeSettings)),
+    : currentSettings(std::move(nodeSettings)),
       callProtocol(std::move(nodeCallProtocol)), codec(settings.key),
       session(std::make_unique<HttpSession>()), storeClient(settings.platform),
       events(settings.callers.toString()), random(std::random_device()()),
@@ -38,6 +45,19 @@
                                  [this] { writeDecisions(); });
 }
 
+void NodeServices::updateSettings(const NodeSettings &next) {
+  const SettingsUpdate update = makeSettingsUpdate(settings, next);
+  currentSettings = update.settings;
+  storeClient.setUrl(settings.platform);
+  const std::string applied = join(update.applied);
+  const std::string deferred = join(update.deferred);
+  LOG(INFO) << "settings: changed at once: " << applied
+            << "; at the next start: " << deferred;
+  logDecision(DecisionKind::StateChange, {{"event", "settings-changed"},
+                                          {"applied", applied},
+                                          {"nextStart", deferred}});
+}
+
 NodeServices::~NodeServices() { writeDecisions(); }
 
 void NodeServices::logDecision(DecisionKind kind,
--- a/src/node/NodeServices.h
+++ b/src/node/NodeServices.h
@@ -5,6 +5,7 @@
 
 #include "base/HybridClock.h"
 #include "base/Settings.h"
+#include "base/SettingsUpdate.h"
 #include "connection/HttpSession.h"
 #include "connection/MessageCodec.h"
 #include "connection/Timer.h"
@@ -24,6 +25,8 @@
 /** Services of one node, which outlive all its tasks. Not thread-safe: use on
  * the main loop only. */
 class NodeServices {
+  NodeSettings currentSettings;
+
 public:
   NodeServices(NodeSettings nodeSettings, CallProtocol nodeCallProtocol);
 
@@ -33,7 +36,9 @@
   NodeServices(NodeServices &&) = delete;
   NodeServices &operator=(NodeServices &&) = delete;
 
-  const NodeSettings settings;
+  /** The settings in force. Read them anew for each use, as they change while
+   * the node runs. */
+  const NodeSettings &settings = currentSettings;
   /** Header names and the classification of answers, for callers and targets.
    */
   const CallProtocol callProtocol;
@@ -45,6 +50,10 @@
   Metrics metrics;
   std::mt19937_64 random;
 
+  /** Takes over those of \p next that can change while the node runs, and logs
+   * which these are and which have to wait for the next start. */
+  void updateSettings(const NodeSettings &next);
+
   /** The time of the monotonic clock. */
   static TimePoint now() { return std::chrono::steady_clock::now(); }
   /** The time of the wall clock. */
--- a/test/platform/SiteFixture.cpp
+++ b/test/platform/SiteFixture.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <fstream>
 #include <numeric>
 
 namespace plantainhatch::test {
@@ -237,17 +238,20 @@
     machine->target =
         std::make_unique<SiteTarget>(machine->targetAddress, Service,
                                      "i-" + std::to_string(machines.size()));
-    writeSettings(*machine);
+    machine->settingsFile =
+        files.write("site-" + std::to_string(machine->callers.port) + ".json",
+                    makeSettings(*machine, Service));
     machines.push_back(std::move(machine));
   }
 }
 
-void SiteFixture::writeSettings(SiteMachine &machine) {
+std::string SiteFixture::makeSettings(const SiteMachine &machine,
+                                      const std::string &service) {
   const json site{{"forwards", machine.forwards.toString()},
                   {"readiness", machine.readiness.toString()},
                   {"metrics", machine.metrics.toString()},
                   {"target", machine.shownTarget.toString()},
-                  {"service", Service},
+                  {"service", service},
                   {"stopGraceSeconds", 6},
                   {"coldOverage", 1.5},
                   {"coldSlack", 5},
@@ -262,9 +266,16 @@
                       {"platform", "http://" + machine.shownStore.toString()},
                       {"key", "0123456789abcdef"},
                       {"site", site}};
-  machine.settingsFile =
-      files.write("site-" + std::to_string(machine.callers.port) + ".json",
-                  settings.dump(2));
+  return settings.dump(2);
+}
+
+std::string SiteFixture::makeSettingsFile(std::size_t n,
+                                          const std::string &service) const {
+  return makeSettings(*machines[n], service);
+}
+
+void SiteFixture::writeSettingsFile(std::size_t n, const std::string &content) {
+  std::ofstream(machines[n]->settingsFile) << content;
 }
 
 bool SiteFixture::start() {
--- a/test/platform/SiteFixture.h
+++ b/test/platform/SiteFixture.h
@@ -140,6 +140,11 @@
    * targets. \return false if that takes too long. */
   bool start();
   void startNode(std::size_t n);
+  /** Writes \p content into the settings file of a machine, in place. */
+  void writeSettingsFile(std::size_t n, const std::string &content);
+  /** The content of the settings file of a machine, with \p service as that of
+   * its worker. */
+  std::string makeSettingsFile(std::size_t n, const std::string &service) const;
   /** Writes a row of the operator's table; removes it without a value. */
   void writeRow(const std::string &key,
                 const std::optional<std::string> &value) {
@@ -191,7 +196,8 @@
   std::unique_ptr<ChildProcess> storeProcess;
   HttpSession session;
 
-  void writeSettings(SiteMachine &machine);
+  static std::string makeSettings(const SiteMachine &machine,
+                                  const std::string &service);
 };
 
 } // namespace plantainhatch::test
