--- a/test/correctness/DepartureRecordTest.cpp
+++ b/test/correctness/DepartureRecordTest.cpp
@@ -99,6 +99,7 @@
 // list of the process before was read.
 TEST(DepartureRecord, DeparturesOfEarlierProcessesAreOlder) {
   std::vector<Departure> stored;
+  stored.reserve(DepartureList::MaxEntries);
   for (std::size_t n = 0; n < DepartureList::MaxEntries; ++n)
     stored.push_back(leaving("former-" + std::to_string(n)));
   record.add(leaving("new"));
