Deliver some heartbeats of the soak late

The soak lets workers leave and kills nodes, but each heartbeat came in time, so that it could not find a worker that is used again after its leaving. One heartbeat in ten now comes a second time, up to 6 s late, drawn apart from the calls so that a seed keeps its faults and calls.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -30,6 +30,9 @@
 constexpr seconds RecoveryBound{15};
 /** Every third call must not run twice. */
 constexpr std::uint64_t UnsafeEvery = 3;
+/** Heartbeats that arrive a second time, late. */
+constexpr double LateBeatShare = 0.1;
+constexpr milliseconds LongestLateness{6'000};
 /** Callers that close their connection within about two service times. */
 constexpr double ImpatientShare = 0.05;
 constexpr milliseconds LongestPatience{60};
@@ -49,7 +52,8 @@
 
 Soak::Soak(const SoakOptions &options)
     : options(options), site(domainsOf(options), SiteLinks::Faulty),
-      random(options.seed), states(options.machines) {}
+      random(options.seed), lateBeatRandom(options.seed),
+      states(options.machines) {}
 
 SoakReport Soak::run() {
   if (!site.start())
@@ -177,6 +181,9 @@
   const std::string name = at.target->name();
   const json body =
       at.target->heartbeat(isLeaving ? "draining" : "ready", at.shownTarget);
+  std::bernoulli_distribution isLate(LateBeatShare);
+  if (!isLeaving && isLate(lateBeatRandom))
+    beatLate(machine, name, body.dump());
   ++beatsUnderWay;
   site.http.sendAsync(at.targets, "PUT", "/instances/" + name, {}, body.dump(),
                       BeatPatience,
@@ -190,6 +197,20 @@
                       });
 }
 
+void Soak::beatLate(std::size_t machine, const std::string &name,
+                    const std::string &body) {
+  std::uniform_int_distribution<milliseconds::rep> latenessOf(
+      BeatInterval.count(), LongestLateness.count());
+  schedule(milliseconds(latenessOf(lateBeatRandom)),
+           [this, machine, name, body] {
+             ++beatsUnderWay;
+             site.http.sendAsync(
+                 site.machines[machine]->targets, "PUT", "/instances/" + name,
+                 {}, body, BeatPatience,
+                 [this](const HttpAnswer & /*answer*/) { --beatsUnderWay; });
+           });
+}
+
 void Soak::strike(const FaultStep &step) {
   const TimePoint at = now();
   switch (step.kind) {
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -71,6 +71,8 @@
   SoakOptions options;
   SiteFixture site;
   std::mt19937_64 random;
+  /** Apart from the other one, so that a seed keeps its calls. */
+  std::mt19937_64 lateBeatRandom;
   PromiseLedger ledger;
   std::vector<MachineState> states;
   std::list<OpenCall> openCalls;
@@ -95,6 +97,10 @@
   void collect();
   void beatAll();
   void beat(std::size_t machine);
+  /** Sends a heartbeat once more, after a while in which its target may have
+   * left or been replaced, and its node may have started anew. */
+  void beatLate(std::size_t machine, const std::string &name,
+                const std::string &body);
 
   void strike(const FaultStep &step);
   void strikeNode(const FaultStep &step);
