Wait for the end of a node that the soak kills

The node's log has one start, and the other nodes saw it die. The same is done for nodes that outlast their grace.

The report now says whether the process of a node that did not recover runs.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -256,7 +256,8 @@
   const std::size_t n = step.machine;
   ChildProcess &node = *site.machines[n]->node;
   if (step.kind == FaultKind::KillNode) {
-    node.signal(SIGKILL);
+    // Waits for its end, without which it would not be started again.
+    node.kill();
     schedule(step.length, [this, n] { startNodeIfEnded(n); });
     return;
   }
@@ -371,7 +372,7 @@
   // The platform kills what has not ended within its grace.
   schedule(StopGrace, [this, n, start] {
     if (states[n].nodeStarts == start)
-      site.machines[n]->node->signal(SIGKILL);
+      site.machines[n]->node->kill();
   });
   schedule(StopGrace + step.length, [this, n] { startNodeIfEnded(n); });
 }
@@ -451,9 +452,11 @@
     };
     const auto left = std::chrono::ceil<milliseconds>(end - now());
     if (!Fleet::waitUntil(isBack, std::max(left, milliseconds(1))))
-      missing.push_back("recovery: node " + std::to_string(n) +
-                        " serves not all pages; the last status is " +
-                        std::to_string(lastStatus));
+      missing.push_back(
+          "recovery: node " + std::to_string(n) +
+          " serves not all pages; the last status is " +
+          std::to_string(lastStatus) + ", its process " +
+          (site.machines[n]->node->isRunning() ? "runs" : "has ended"));
   }
   return missing;
 }
