--- a/test/platform/DeparturesTest.cpp
+++ b/test/platform/DeparturesTest.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/** Where heartbeats of the worker of machine 0 are delayed. */
+/** The machine whose worker leaves. */
 constexpr std::size_t Left = 0;
 
 } // namespace
@@ -47,8 +47,8 @@
     CHECK(Fleet::waitUntil([&] { return site.isReady(n); }));
   }
 
-  /** Other workers' heartbeats, and calls at all machines. \return the runs at
-   * the worker that has left. */
+  /** Sends calls to all machines, while the other workers go on with their
+   * heartbeats. \return the runs at the worker that has left. */
   unsigned runsAtTheOneThatLeft() {
     SiteTarget &target = *site.machines[Left]->target;
     const unsigned before = target.runCount();
