Let callers prove their team with a key, and bound the use of keys that were taken away

Change: teams with digests of their keys in a version, records and rules files; 401 for an unknown key once the version is known to be the newest; the team's name instead of the key for the target, also over the hop and by rules that are looked up; the team's priority before the route's. With keyRevocationMs a keyed call is refused unless the version was the newest within that time, as the store or, where it is silent, a node of another failure domain has shown.

--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -62,6 +62,16 @@
   return std::chrono::round<std::chrono::milliseconds>(Seconds(seconds));
 }
 
+std::chrono::milliseconds readMilliseconds(SettingsReader &reader,
+                                           const std::string &field,
+                                           std::chrono::milliseconds least,
+                                           std::chrono::milliseconds most) {
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  const double ms = reader.requireNumber(field, Milliseconds(least).count(),
+                                         Milliseconds(most).count());
+  return std::chrono::floor<std::chrono::milliseconds>(Milliseconds(ms));
+}
+
 SiteSettings readSite(SettingsReader &reader) {
   constexpr double MostRate = 1e6;
   SiteSettings site;
@@ -115,6 +125,10 @@
   settings.platform = reader.requireUrl("platform");
   settings.seeds = reader.optionalAddresses("seeds");
   settings.key = readKey(reader, fileName);
+  if (reader.has("keyRevocationMs"))
+    settings.keyRevocation = readMilliseconds(reader, "keyRevocationMs",
+                                              NodeSettings::MinKeyRevocation,
+                                              NodeSettings::MaxKeyRevocation);
   if (reader.has("site")) {
     SettingsReader section = reader.section("site");
     settings.site = readSite(section);
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -63,9 +63,18 @@
   std::vector<Address> seeds;
   /** Content of the key file, or the key itself. */
   std::string key;
+  /** A key that was taken from its team is not used later than this after the
+   * store has acknowledged that, whether or not the node is in touch; nothing
+   * if that is not bounded. */
+  std::optional<std::chrono::milliseconds> keyRevocation;
   /** Set where a platform with an interface of its own drives the node. */
   std::optional<SiteSettings> site;
 
+  /** A shorter bound would refuse most calls, as each proof takes a question to
+   * the store. */
+  static constexpr std::chrono::milliseconds MinKeyRevocation{1'000};
+  static constexpr std::chrono::milliseconds MaxKeyRevocation{3'600'000};
+
   /** \pre The node is at a site. */
   const SiteSettings &requireSite() const {
     assert(site.has_value() && "only nodes at a site have its settings");
--- a/src/base/SettingsUpdate.cpp
+++ b/src/base/SettingsUpdate.cpp
@@ -57,6 +57,7 @@
   fields.defer("key", settings.key, next.key);
   fields.apply("platform", settings.platform, next.platform);
   fields.apply("seeds", settings.seeds, next.seeds);
+  fields.apply("keyRevocationMs", settings.keyRevocation, next.keyRevocation);
   fields.defer("site", settings.site.has_value(), next.site.has_value());
   if (settings.site && next.site)
     compareSites(fields, *settings.site, *next.site);
--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -1,6 +1,7 @@
 #include "node/ConfigurationTask.h"
 
 #include "base/Compression.h"
+#include "process/ProofAge.h"
 #include "process/Rendezvous.h"
 #include "version/RuleRecord.h"
 
@@ -80,14 +81,23 @@
   check.onConfirmed();
 }
 
+void ConfigurationTask::onNotConfirmed() {
+  isSourceFailing = true;
+  // The source may turn away this node alone.
+  if (isQuestionForPeer || !proofs.askElsewhere())
+    check.onNotConfirmed();
+}
+
 void ConfigurationTask::whenNewest(FreshnessCheck::Done done) {
   detectPause();
   check.run(NodeServices::now(), nodeCount(), storeUp, std::move(done));
 }
 
 bool ConfigurationTask::askForNewest() {
-  if (externalSource.confirm)
+  if (externalSource.confirm) {
+    isQuestionForPeer = isCheckForPeer;
     return (!isCheckForPeer && proofs.ask()) || externalSource.confirm();
+  }
   readHead();
   return true;
 }
@@ -113,12 +123,10 @@
               const auto confirmedAt = guard.confirmedAt();
               if (!isNewest || !confirmedAt)
                 return;
-              const auto age = std::chrono::ceil<std::chrono::milliseconds>(
-                  NodeServices::now() - *confirmedAt);
               peers.sendWithoutUpdates(
-                  sender,
-                  VersionProof{nonce, replica.version(),
-                               static_cast<std::uint32_t>(age.count())});
+                  sender, VersionProof{nonce, replica.version(),
+                                       proofAge::toMessage(
+                                           *confirmedAt, NodeServices::now())});
             });
   isCheckForPeer = false;
 }
@@ -126,7 +134,7 @@
 void ConfigurationTask::onProof(
     const std::optional<VersionProofs::Result> &proof) {
   if (!proof || proof->version < replica.version()) {
-    if (!externalSource.confirm())
+    if (proofs.hasAskedElsewhere() || !externalSource.confirm())
       check.onNotConfirmed();
     return;
   }
@@ -421,6 +429,7 @@
 
 void ConfigurationTask::lookUpRule(const std::string &host,
                                    const std::string &path,
+                                   const std::string &keyDigest,
                                    RuleLookup::Done done) {
   // Only the records of an external source hold a rule whole.
   if (!externalSource.confirm) {
@@ -428,7 +437,7 @@
     return;
   }
   lookup.find(
-      {host, path, heard.newest()}, heard.holders(),
+      {host, path, keyDigest, heard.newest()}, heard.holders(),
       [this, done = std::move(done)](std::optional<RuleLookup::Result> result) {
         if (result)
           heard.onUsed(result->version);
@@ -442,10 +451,53 @@
     return;
   const ServiceRule *const rule =
       replica.current()->findService(query.host, query.path);
-  std::string record = rule == nullptr ? std::string() : encodeRecord(*rule);
-  if (record.size() <= RuleLookup::MaxQueryBytes)
-    peers.sendWithoutUpdates(
-        sender, RuleAnswer{query.nonce, replica.version(), std::move(record)});
+  RuleAnswer answer;
+  answer.nonce = query.nonce;
+  answer.version = replica.version();
+  if (rule != nullptr)
+    answer.record = encodeRecord(*rule);
+  const TeamRule *const team =
+      rule != nullptr && rule->needsTeamKey
+          ? replica.current()->findTeam(query.keyDigest)
+          : nullptr;
+  if (team != nullptr)
+    answer.teamRecord = encodeRecord(*team);
+  if (const auto confirmedAt = guard.confirmedAt())
+    answer.proofAgeMs = proofAge::toMessage(*confirmedAt, NodeServices::now());
+  if (answer.record.size() + answer.teamRecord.size() <=
+      RuleLookup::MaxQueryBytes)
+    peers.sendWithoutUpdates(sender, std::move(answer));
+}
+
+bool ConfigurationTask::isProofForKeys(
+    const std::optional<TimePoint> &provedAt) {
+  const auto &bound = services.settings.keyRevocation;
+  return !bound ||
+         proofAge::isYoungForKeys(provedAt, NodeServices::now(), *bound);
+}
+
+bool ConfigurationTask::isProvedForKeys() {
+  if (!services.settings.keyRevocation)
+    return true;
+  detectPause();
+  renewKeyProof(NodeServices::now());
+  return isProofForKeys(guard.confirmedAt());
+}
+
+void ConfigurationTask::renewKeyProof(TimePoint now) {
+  const auto interval =
+      isSourceFailing ? KeyProofRetryInterval : KeyProofAskInterval;
+  const auto bound = *services.settings.keyRevocation;
+  const bool isDue = proofAge::isDueForKeys(guard.confirmedAt(), now, bound);
+  if (!isDue || now - lastKeyProofAskAt < interval)
+    return;
+  lastKeyProofAskAt = now;
+  check.run(now, nodeCount(), true, [](bool /*isNewest*/) {});
+  // An earlier question is still open, at a source that may be silent.
+  const bool isOverdue =
+      proofAge::isOverdueForKeys(guard.confirmedAt(), now, bound);
+  if (isOverdue && externalSource.confirm)
+    proofs.askElsewhere();
 }
 
 BulkReplyBody ConfigurationTask::answer(const ConfigurationRequest &request) {
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -51,6 +51,10 @@
    * peers have found too long. On a slow link, an earlier one may take as long.
    */
   static constexpr std::chrono::milliseconds LongUpdateInterval{1'500};
+  /** Least time between two questions that renew the proof for keys. */
+  static constexpr std::chrono::milliseconds KeyProofAskInterval{250};
+  /** The same while neither the source nor another node answers. */
+  static constexpr std::chrono::milliseconds KeyProofRetryInterval{500};
 
   /** Called with the configuration that was in force before the adoption. */
   using AdoptedListener = std::function<void(const ConfigurationPtr &before)>;
@@ -86,10 +90,7 @@
    * then, or if a later version is in force, as the answer is from the past. */
   void onConfirmed(TimePoint askedAt, std::uint64_t version);
   /** Called when the source has not answered a request to confirm. */
-  void onNotConfirmed() {
-    isSourceFailing = true;
-    check.onNotConfirmed();
-  }
+  void onNotConfirmed();
   /** Calls \p done, at once or within FreshnessCheck::TimeLimit, with whether
    * the version in force is known to be the newest. A later version may have
    * been adopted when it is called. */
@@ -123,7 +124,13 @@
    * called once, with nothing if there is no such rule, or no node answers.
    * \pre isOutdated() */
   void lookUpRule(const std::string &host, const std::string &path,
-                  RuleLookup::Done done);
+                  const std::string &keyDigest, RuleLookup::Done done);
+  /** True if a team's key that the version in force holds may be used now: its
+   * revocation would be known, as the settings bound the time for that. Sees to
+   * it that this stays so, as long as the store or another node answers. */
+  bool isProvedForKeys();
+  /** The same for a version that was the newest at \p provedAt. */
+  bool isProofForKeys(const std::optional<TimePoint> &provedAt);
   /** A gate has refused a call as its version was too old: asks \p peer, where
    * the gate is, for a newer one. */
   void onOutdatedAt(const Address &peer);
@@ -165,6 +172,8 @@
   std::optional<VersionProofs::Result> awaitedProof;
   /** The check is for another node, so that no third one is asked. */
   bool isCheckForPeer = false;
+  /** The same for the question that is open at the source. */
+  bool isQuestionForPeer = false;
   std::vector<AdoptedListener> listeners;
   Timer pollTimer;
   Timer tickTimer;
@@ -184,11 +193,13 @@
   };
   EncodedUpdate encoded;
   TimePoint lastLongUpdateAt;
+  TimePoint lastKeyProofAskAt;
   /** The external source has not answered the latest request to confirm. */
   bool isSourceFailing = false;
   bool storeUp = true;
 
   void tick();
+  void renewKeyProof(TimePoint now);
   void detectPause();
   bool askForNewest();
   void onVersionQuery(const Address &sender, const VersionQuery &query);
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -51,10 +51,14 @@
     return;
   }
   findRule();
-  if (rule != nullptr)
+  proceed();
+}
+
+void IngressCall::proceed() {
+  if (isAllowed() && isKeyProved())
     admit();
   else
-    onNoRule();
+    checkNewest();
 }
 
 std::string IngressCall::host() const {
@@ -66,6 +70,20 @@
 void IngressCall::findRule() {
   version = configuration->head().version;
   rule = configuration->findService(host(), request->path());
+  teamOfCall = {};
+  if (rule != nullptr && rule->needsTeamKey)
+    teamOfCall = findTeamOfCall(*configuration, *rule, digestOfKey());
+}
+
+const std::optional<std::string> &IngressCall::digestOfKey() {
+  if (!std::exchange(isKeyRead, true))
+    keyDigest = readKeyDigest(incoming->request().headers);
+  return keyDigest;
+}
+
+bool IngressCall::isKeyProved() {
+  return teamOfCall.status != KeyStatus::Held ||
+         task.configuration.isProvedForKeys();
 }
 
 void IngressCall::lookUpRule() {
@@ -75,7 +93,7 @@
     self->end();
   });
   task.configuration.lookUpRule(
-      host(), std::string(request->path()),
+      host(), std::string(request->path()), digestOfKey().value_or(""),
       [self](std::optional<RuleLookup::Result> result) {
         self->onRuleLookedUp(std::move(result));
       });
@@ -87,21 +105,26 @@
   configuration = task.configuration.current();
   if (!task.configuration.isOutdated()) {
     findRule();
-    if (rule != nullptr)
-      admit();
-    else
-      onNoRule();
+    proceed();
     return;
   }
   if (!result) {
-    sendLocalAnswer({httpStatus::ServiceUnavailable, Outcome::NotRun,
-                     "configuration-outdated", CallDecision::RetryAfter});
+    rejectForNow("configuration-outdated");
     return;
   }
   foreignRule = new SharedServiceRule(std::move(result->rule));
   rule = &foreignRule->rule;
   version = result->version;
-  admit();
+  foreignTeam = std::move(result->team);
+  if (rule->needsTeamKey)
+    teamOfCall = {foreignTeam ? KeyStatus::Held : KeyStatus::Unknown,
+                  foreignTeam ? &*foreignTeam : nullptr};
+  const bool isProved = teamOfCall.status != KeyStatus::Held ||
+                        task.configuration.isProofForKeys(result->provedAt);
+  if (isAllowed() && isProved)
+    admit();
+  else
+    rejectForNow("configuration-not-confirmed");
 }
 
 void IngressCall::updateVersion() {
@@ -109,8 +132,15 @@
   if (current->head().version <= version)
     return;
   const ServiceRule *const now = current->findService(host(), request->path());
+  if (now == nullptr)
+    return;
+  const TeamOfCall team = findTeamOfCall(
+      *current, *now, now->needsTeamKey ? digestOfKey() : std::nullopt);
+  const bool isSameTeam =
+      team.status == teamOfCall.status &&
+      (team.team == nullptr || team.team->name == teamOfCall.team->name);
   const bool isSame =
-      now != nullptr && now->name == rule->name &&
+      isSameTeam && now->name == rule->name &&
       (now->trafficSplit.empty() ||
        std::ranges::find(now->trafficSplit, service,
                          &WeightedService::service) != now->trafficSplit.end());
@@ -118,10 +148,9 @@
     version = current->head().version;
 }
 
-void IngressCall::onNoRule() {
+void IngressCall::checkNewest() {
   if (task.services.settings.site && configuration->head().version == 0) {
-    sendLocalAnswer({httpStatus::ServiceUnavailable, Outcome::NotRun,
-                     "no-configuration", CallDecision::RetryAfter});
+    rejectForNow("no-configuration");
     return;
   }
   const CallPtr self(this);
@@ -138,13 +167,16 @@
     return;
   configuration = task.configuration.current();
   findRule();
-  if (rule != nullptr)
+  if (isAllowed() && isKeyProved())
     admit();
-  else if (isNewest)
+  else if (isAllowed())
+    rejectForNow("key-not-confirmed");
+  else if (!isNewest)
+    rejectForNow("configuration-not-confirmed");
+  else if (rule == nullptr)
     reject(httpStatus::NotFound, "no-rule");
   else
-    sendLocalAnswer({httpStatus::ServiceUnavailable, Outcome::NotRun,
-                     "configuration-not-confirmed", CallDecision::RetryAfter});
+    reject(httpStatus::Unauthorized, "unknown-key");
 }
 
 void IngressCall::admit() {
@@ -153,6 +185,7 @@
            "missing-" + task.services.callProtocol.requestIdHeader);
     return;
   }
+  setTeamHeader();
   service = task.chooseService(*rule);
   const auto timeout = timeoutOf(incoming->request(), *rule,
                                  task.services.callProtocol.timeoutMsHeader);
@@ -166,9 +199,7 @@
       std::make_unique<CallDecision>(isIdempotent(*request, *rule), deadline,
                                      task.budgetOf(service), rule->attempts);
   if (task.crashes.isQuarantined(fingerprint)) {
-    sendLocalAnswer({httpStatus::ServiceUnavailable, Outcome::NotRun,
-                     std::string(toString(Refusal::Quarantined)),
-                     CallDecision::RetryAfter});
+    rejectForNow(std::string(toString(Refusal::Quarantined)));
     return;
   }
   const CallPtr self(this);
@@ -187,7 +218,18 @@
   beginClaim(*key);
 }
 
-std::shared_ptr<const CallRequest> IngressCall::makeRequest() const {
+void IngressCall::setTeamHeader() {
+  // A newer version may have teams where the one in force has none.
+  const bool hasTeams =
+      configuration->hasTeams() || rule->needsTeamKey || foreignRule;
+  if (hasTeams)
+    removeHeader(request->headers, headers::Authorization);
+  if (teamOfCall.team != nullptr)
+    request->headers.emplace_back(task.services.callProtocol.teamHeader,
+                                  teamOfCall.team->name);
+}
+
+std::shared_ptr<CallRequest> IngressCall::makeRequest() const {
   auto cleaned = std::make_shared<CallRequest>(incoming->request());
   const CallProtocol &callProtocol = task.services.callProtocol;
   cleaned->id =
@@ -198,7 +240,8 @@
   for (const std::string &name :
        {callProtocol.requestIdHeader, callProtocol.timeoutMsHeader,
         callProtocol.callerServiceHeader, callProtocol.expectedTargetHeader,
-        std::string(headers::Outcome), std::string("Expect")})
+        callProtocol.teamHeader, std::string(headers::Outcome),
+        std::string("Expect")})
     if (!name.empty())
       removeHeader(cleaned->headers, name);
   if (!callProtocol.callerServiceHeader.empty())
@@ -305,15 +348,20 @@
     startHedgeTimer();
 }
 
+unsigned IngressCall::priority() const {
+  const TeamRule *const team = teamOfCall.team;
+  return team != nullptr && team->priority ? *team->priority : rule->priority;
+}
+
 AnswerSourcePtr IngressCall::dispatch(const Candidate &candidate, bool mayQueue,
                                       const std::shared_ptr<bool> &hasResult) {
   const bool isIsolated =
       task.services.callProtocol.isolatesNonIdempotentCalls &&
       !isIdempotent(*request, *rule);
-  DispatchRequest dispatchRequest{request,        service,
-                                  fingerprint,    deadline,
-                                  mayQueue,       isClaimHeld || isIsolated,
-                                  rule->priority, maxColdWaitOf(*rule),
+  DispatchRequest dispatchRequest{request,     service,
+                                  fingerprint, deadline,
+                                  mayQueue,    isClaimHeld || isIsolated,
+                                  priority(),  maxColdWaitOf(*rule),
                                   version};
   const CallPtr self(this);
   auto receiver = [self, hasResult,
@@ -535,6 +583,8 @@
   HeaderList list{{headers::Outcome, std::string(toString(answer.outcome))},
                   {task.services.callProtocol.requestIdHeader, request->id},
                   {"Content-Type", "text/plain"}};
+  if (answer.status == httpStatus::Unauthorized)
+    list.emplace_back(headers::Authenticate, "Bearer");
   if (answer.retryAfter)
     list.emplace_back(headers::RetryAfter,
                       formatRetryAfter(*answer.retryAfter));
@@ -552,6 +602,8 @@
       {{"request", request->id},
        {"rule", rule == nullptr ? std::string() : rule->name},
        {"service", service},
+       {"team",
+        teamOfCall.team == nullptr ? std::string() : teamOfCall.team->name},
        {"status", status},
        {"reason", reason},
        {"version", version},
@@ -600,6 +652,11 @@
   sendLocalAnswer({status, Outcome::NotRun, reason, std::nullopt});
 }
 
+void IngressCall::rejectForNow(const std::string &reason) {
+  sendLocalAnswer({httpStatus::ServiceUnavailable, Outcome::NotRun, reason,
+                   CallDecision::RetryAfter});
+}
+
 void IngressCall::replay(const StoredAnswer &answer) {
   HeaderList list = answer.headers;
   removeHeader(list, task.services.callProtocol.requestIdHeader);
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -10,6 +10,7 @@
 #include "node/GateCall.h"
 #include "node/IngressTask.h"
 #include "request/CallDecision.h"
+#include "request/TeamKey.h"
 
 #include <map>
 #include <memory>
@@ -46,7 +47,15 @@
   /** Destination chosen from the rule's traffic split, or the rule's own name.
    */
   std::string service;
-  std::shared_ptr<const CallRequest> request;
+  /** The digest of the caller's key, once it was needed. */
+  std::optional<std::string> keyDigest;
+  bool isKeyRead = false;
+  TeamOfCall teamOfCall;
+  /** Set if the rule was found at another node and needs a key that a team
+   * holds there. */
+  std::optional<TeamRule> foreignTeam;
+  /** Not modified after the first dispatch. */
+  std::shared_ptr<CallRequest> request;
   std::uint64_t fingerprint = 0;
   TimePoint arrivedAt;
   TimePoint deadline;
@@ -78,7 +87,19 @@
               std::function<void()> onDone);
 
   void begin();
+  /** Finds the rule and the team in the configuration. */
   void findRule();
+  const std::optional<std::string> &digestOfKey();
+  /** Admits the call if the version shows that it may be run, and otherwise
+   * finds out whether that is the newest one. */
+  void proceed();
+  /** True if a rule matches, and the caller has the key that it needs. */
+  bool isAllowed() const {
+    return rule != nullptr && teamOfCall.status != KeyStatus::Unknown;
+  }
+  /** True if the call needs no key, or the version that shows who holds it is
+   * known to have been the newest lately enough. */
+  bool isKeyProved();
   /** Finds the rule at a node that has a newer version. */
   void lookUpRule();
   void onRuleLookedUp(std::optional<RuleLookup::Result> result);
@@ -88,11 +109,13 @@
   /** The host that the request names, without a port. */
   std::string host() const;
   /** Denies the call only if the configuration is known to be the newest. */
-  void onNoRule();
+  void checkNewest();
   void onFreshnessChecked(bool isNewest);
   /** \pre A rule was found. */
   void admit();
-  std::shared_ptr<const CallRequest> makeRequest() const;
+  std::shared_ptr<CallRequest> makeRequest() const;
+  /** Names the team to the target, which does not get the key. */
+  void setTeamHeader();
   void beginClaim(const std::string &key);
   void onClaimResult(Claim::Result result);
   void onCallerDisconnected();
@@ -100,6 +123,8 @@
 
   void perform(CallAction action);
   void forward(bool mayQueue);
+  /** That of the team, or else that of the rule. */
+  unsigned priority() const;
   AnswerSourcePtr dispatch(const Candidate &candidate, bool mayQueue,
                            const std::shared_ptr<bool> &hasResult);
   void onResult(const Address &target, DispatchResult result);
@@ -142,6 +167,8 @@
   std::string formatRetryAfter(std::chrono::milliseconds delay) const;
   /** Ends the call as not run, without Retry-After. */
   void reject(unsigned status, const std::string &reason);
+  /** Ends the call as not run for now. */
+  void rejectForNow(const std::string &reason);
   /** Ends the call with the answer stored by an earlier call with the same
    * idempotency key. */
   void replay(const StoredAnswer &answer);
--- a/src/node/RuleLookup.cpp
+++ b/src/node/RuleLookup.cpp
@@ -1,11 +1,23 @@
 #include "node/RuleLookup.h"
 
+#include "process/ProofAge.h"
 #include "version/RuleRecord.h"
 
 #include <algorithm>
 
 namespace plantainhatch {
 
+namespace {
+
+template <typename T> std::optional<T> decode(const std::string &record) {
+  auto decoded =
+      record.empty() ? Checked<RuleRecord>(Findings{}) : decodeRecord(record);
+  T *const rule = decoded ? std::get_if<T>(&decoded.value()) : nullptr;
+  return rule == nullptr ? std::nullopt : std::optional(std::move(*rule));
+}
+
+} // namespace
+
 void RuleLookup::find(const Query &query, std::vector<Address> holders,
                       Done done) {
   holders.resize(std::min(holders.size(), MaxAttempts));
@@ -18,6 +30,7 @@
   ask({query,
        std::move(holders),
        {},
+       {},
        std::move(done),
        std::make_unique<Timer>()});
 }
@@ -26,10 +39,12 @@
   const std::uint64_t nonce = services.random();
   lookup.asked = lookup.holders.back();
   lookup.holders.pop_back();
+  lookup.askedAt = NodeServices::now();
   services.metrics.add("rule_queries_total");
   peers.sendWithoutUpdates(lookup.asked,
                            RuleQuery{nonce, lookup.query.leastVersion,
-                                     lookup.query.host, lookup.query.path});
+                                     lookup.query.host, lookup.query.path,
+                                     lookup.query.keyDigest});
   Timer &timer = *lookup.timer;
   open.emplace(nonce, std::move(lookup));
   timer.startOnce(TimeLimit, [this, nonce] {
@@ -51,14 +66,16 @@
   const auto it = open.find(answer.nonce);
   if (it == open.end() || it->second.asked != sender)
     return;
-  auto record = answer.record.empty() ? Checked<RuleRecord>(Findings{})
-                                      : decodeRecord(answer.record);
-  auto *const rule =
-      record ? std::get_if<ServiceRule>(&record.value()) : nullptr;
-  if (rule == nullptr || answer.version < it->second.query.leastVersion)
+  auto rule = decode<ServiceRule>(answer.record);
+  if (!rule || answer.version < it->second.query.leastVersion) {
     finish(it, std::nullopt);
-  else
-    finish(it, Result{answer.version, std::move(*rule)});
+    return;
+  }
+  std::optional<TimePoint> provedAt;
+  if (answer.proofAgeMs != RuleAnswer::NoProof)
+    provedAt = proofAge::fromMessage(it->second.askedAt, answer.proofAgeMs);
+  finish(it, Result{answer.version, std::move(*rule),
+                    decode<TeamRule>(answer.teamRecord), provedAt});
 }
 
 void RuleLookup::finish(std::map<std::uint64_t, Open>::iterator it,
--- a/src/node/RuleLookup.h
+++ b/src/node/RuleLookup.h
@@ -36,6 +36,12 @@
   struct Result {
     std::uint64_t version = 0;
     ServiceRule rule;
+    /** The team that holds the key there; nothing if none does, or the rule
+     * needs no key. */
+    std::optional<TeamRule> team;
+    /** A moment at which the version was the newest; nothing if the other node
+     * knows of none. */
+    std::optional<TimePoint> provedAt;
   };
   /** Called once, with nothing if no node has answered with a rule. */
   using Done = std::function<void(std::optional<Result>)>;
@@ -44,6 +50,8 @@
   struct Query {
     std::string host;
     std::string path;
+    /** The digest of the caller's key; empty if there is none. */
+    std::string keyDigest;
     /** Answers by older versions are ignored. */
     std::uint64_t leastVersion = 0;
   };
@@ -65,6 +73,7 @@
     /** Not asked yet, the next one last. */
     std::vector<Address> holders;
     Address asked;
+    TimePoint askedAt;
     Done done;
     std::unique_ptr<Timer> timer;
   };
--- a/src/node/VersionProofs.cpp
+++ b/src/node/VersionProofs.cpp
@@ -1,7 +1,10 @@
 #include "node/VersionProofs.h"
 
+#include "process/ProofAge.h"
 #include "process/Rendezvous.h"
 
+#include <algorithm>
+
 namespace plantainhatch {
 
 bool VersionProofs::ask() {
@@ -13,12 +16,34 @@
   if (peer == services.settings.peers || isMuted ||
       peers.membership().isInDoubt())
     return false;
-  const Question question{peer, services.random(), now};
-  open = question;
+  isElsewhere = false;
+  send(peer);
+  return true;
+}
+
+bool VersionProofs::askElsewhere() {
+  // Those that are likely to wait at the source for their failure domains.
+  constexpr std::size_t Choices = 3;
+  if (open)
+    return false;
+  std::vector<Address> nodes = findSpread(peers.membership(), task, Choices);
+  const TimePoint now = NodeServices::now();
+  std::erase_if(nodes, [&](const Address &it) {
+    return it == muted && now < mutedUntil;
+  });
+  if (nodes.empty())
+    return false;
+  std::uniform_int_distribution<std::size_t> any(0, nodes.size() - 1);
+  isElsewhere = true;
+  send(nodes[any(services.random)]);
+  return true;
+}
+
+void VersionProofs::send(const Address &peer) {
+  open = Question{peer, services.random(), NodeServices::now()};
   services.metrics.add("version_queries_total");
-  peers.sendWithoutUpdates(peer, VersionQuery{question.nonce});
+  peers.sendWithoutUpdates(peer, VersionQuery{open->nonce});
   timer.startOnce(TimeLimit, [this] { onTimeout(); });
-  return true;
 }
 
 void VersionProofs::onAnswer(const Address &sender, const VersionProof &proof) {
@@ -30,7 +55,7 @@
   // The proof was at most this old when the question reached its sender, which
   // was after the question was sent.
   done(Result{sender, proof.version,
-              answered.askedAt - std::chrono::milliseconds(proof.ageMs)});
+              proofAge::fromMessage(answered.askedAt, proof.ageMs)});
 }
 
 void VersionProofs::onTimeout() {
--- a/src/node/VersionProofs.h
+++ b/src/node/VersionProofs.h
@@ -46,6 +46,13 @@
    * selected one has not answered lately. */
   bool ask();
 
+  /** The same for a node of another failure domain, which is asked as the
+   * source does not answer this one. \return false if there is none, or a
+   * question is open. */
+  bool askElsewhere();
+  /** True if the latest question went to another failure domain. */
+  bool hasAskedElsewhere() const { return isElsewhere; }
+
   /** Handles an answer. */
   void onAnswer(const Address &sender, const VersionProof &proof);
 
@@ -64,6 +71,9 @@
   Timer timer;
   Address muted;
   TimePoint mutedUntil;
+  bool isElsewhere = false;
+
+  void send(const Address &peer);
 
   void onTimeout();
 };
--- a/src/process/FreshnessGuard.cpp
+++ b/src/process/FreshnessGuard.cpp
@@ -16,15 +16,25 @@
 
 void FreshnessGuard::onTick(TimePoint now, Duration suspended) {
   detectPause(now);
-  const bool wasSuspended =
-      lastSuspended >= Duration() && suspended - lastSuspended > PauseThreshold;
-  lastSuspended = suspended;
-  if (wasSuspended)
+  const Duration step =
+      lastSuspended < Duration() ? Duration() : suspended - lastSuspended;
+  // A reading may be too low, if the process is interrupted within it.
+  lastSuspended = std::max(lastSuspended, suspended);
+  if (step > PauseThreshold)
     beginPause(now);
+  else if (step > Duration())
+    age(step, now);
+}
+
+void FreshnessGuard::age(Duration step, TimePoint now) {
+  if (lastConfirmed != TimePoint{})
+    lastConfirmed -= step;
+  if (step >= ShortestSuspension)
+    suspendedAt = now;
 }
 
 void FreshnessGuard::onConfirmed(TimePoint askedAt, Source source) {
-  if (askedAt < staleSince)
+  if (askedAt < staleSince || askedAt < suspendedAt)
     return;
   staleSince = TimePoint{};
   if (source == Source::Store)
--- a/src/process/FreshnessGuard.h
+++ b/src/process/FreshnessGuard.h
@@ -21,6 +21,9 @@
   /** A longer gap between two observations of the clock is a pause. */
   static constexpr std::chrono::milliseconds PauseThreshold{1'000};
   static constexpr std::chrono::milliseconds MaxStale{2'000};
+  /** A suspension that is shorter than a pause makes what is known older. What
+   * seems to be a still shorter one is how the clocks are read. */
+  static constexpr std::chrono::milliseconds ShortestSuspension{1};
 
   /** Must be called at intervals well below PauseThreshold. \param suspended is
    * the time since the start of the VM that the steady clock has not counted,
@@ -38,7 +41,8 @@
   };
 
   /** \p source has confirmed the configuration in reply to a request sent at
-   * \p askedAt. Ignored if that was before the pause was detected. */
+   * \p askedAt. Ignored if that was before the pause, or a suspension, was
+   * detected. */
   void onConfirmed(TimePoint askedAt, Source source);
 
   /** The latest moment at which the configuration is known to have been the
@@ -53,6 +57,8 @@
   TimePoint lastSeen;
   /** Negative before the first tick. */
   Duration lastSuspended{-1};
+  /** When the last suspension was detected. */
+  TimePoint suspendedAt;
   /** Zero if there is none since the last pause. */
   TimePoint lastConfirmed;
   /** Zero if not stale. */
@@ -60,6 +66,8 @@
   bool pauseDetected = false;
 
   void detectPause(TimePoint now);
+  /** The steady clock has not counted \p step. */
+  void age(Duration step, TimePoint now);
   void beginPause(TimePoint now);
 };
 
--- a/src/process/Message.h
+++ b/src/process/Message.h
@@ -9,6 +9,7 @@
 #include "process/Member.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -165,20 +166,30 @@
   std::uint64_t leastVersion = 0;
   std::string host;
   std::string path;
+  /** The digest of the caller's key; empty if there is none. */
+  std::string keyDigest;
   template <typename Archive> void serialize(Archive &archive) {
-    archive(nonce, leastVersion, host, path);
+    archive(nonce, leastVersion, host, path, keyDigest);
   }
 };
 
 /** Reply to a RuleQuery, with its nonce. */
 struct RuleAnswer {
+  static constexpr std::uint32_t NoProof =
+      std::numeric_limits<std::uint32_t>::max();
+
   std::uint64_t nonce = 0;
   /** The version that the rule is taken from. */
   std::uint64_t version = 0;
   /** As encodeRecord() makes it; empty if no rule matches. */
   std::string record;
+  /** The team that holds the key, if the rule needs one; otherwise empty. */
+  std::string teamRecord;
+  /** Time since a moment at which the version was the newest; NoProof if none
+   * is known. An age needs no synchronized clocks. */
+  std::uint32_t proofAgeMs = NoProof;
   template <typename Archive> void serialize(Archive &archive) {
-    archive(nonce, version, record);
+    archive(nonce, version, record, teamRecord, proofAgeMs);
   }
 };
 
--- a/src/request/CallProtocol.cpp
+++ b/src/request/CallProtocol.cpp
@@ -27,6 +27,7 @@
   CallProtocol protocol;
   protocol.requestIdHeader = headers::RequestId;
   protocol.timeoutMsHeader = headers::TimeoutMs;
+  protocol.teamHeader = headers::Team;
   protocol.isolatesNonIdempotentCalls = true;
   protocol.classify = classifyNativeAnswer;
   protocol.readLoad = [](const HeaderList & /*answer*/) {
--- a/src/request/CallProtocol.h
+++ b/src/request/CallProtocol.h
@@ -51,6 +51,9 @@
   /** Name of the header with the service on the VM where the call entered the
    * fleet; empty if it is not sent to targets. */
   std::string callerServiceHeader;
+  /** Name of the header with the team that the caller belongs to; set by the
+   * ingress, whatever the caller has sent. */
+  std::string teamHeader;
   /** Name of the header with the boot ID of the target instance that must run
    * the call; empty if targets do not check it. */
   std::string expectedTargetHeader;
--- a/src/request/HeaderNames.h
+++ b/src/request/HeaderNames.h
@@ -14,6 +14,13 @@
 /** The delay before the caller may retry, in seconds. */
 inline constexpr const char *RetryAfter = "Retry-After";
 
+/** The key of the caller's team; not passed on where there are teams. */
+inline constexpr const char *Authorization = "Authorization";
+/** The name of the caller's team, set by the system. */
+inline constexpr const char *Team = "Plantainhatch-Team";
+/** On answers with status 401, how to authenticate. */
+inline constexpr const char *Authenticate = "WWW-Authenticate";
+
 /** Prefix of the headers used between nodes only. They are removed from
  * callers' requests and from targets' answers. */
 inline constexpr const char *InternalPrefix = "Plantainhatch-Node-";
--- a/src/request/HttpStatus.h
+++ b/src/request/HttpStatus.h
@@ -9,6 +9,7 @@
 inline constexpr unsigned NoContent = 204;
 inline constexpr unsigned NotModified = 304;
 inline constexpr unsigned BadRequest = 400;
+inline constexpr unsigned Unauthorized = 401;
 inline constexpr unsigned Forbidden = 403;
 inline constexpr unsigned NotFound = 404;
 inline constexpr unsigned MethodNotAllowed = 405;
--- a/src/version/Configuration.cpp
+++ b/src/version/Configuration.cpp
@@ -134,6 +134,11 @@
   return found;
 }
 
+const TeamRule *Configuration::findTeam(const std::string &keyDigest) const {
+  const auto it = teamsByKey.find(keyDigest);
+  return it == teamsByKey.end() ? nullptr : it->second;
+}
+
 const DomainRule *Configuration::findDomainOut(const std::string &name) const {
   const auto it = domainRules.find(name);
   return it == domainRules.end() ? nullptr : &it->second;
@@ -163,6 +168,15 @@
   targetTraits.emplace(std::move(service), std::move(traits));
 }
 
+void Configuration::addRule(TeamRule rule) {
+  std::string name = rule.name;
+  const auto [it, isNew] = teams.emplace(std::move(name), std::move(rule));
+  if (!isNew)
+    return;
+  for (const std::string &digest : it->second.keyDigests)
+    teamsByKey.emplace(digest, &it->second);
+}
+
 void Configuration::indexServices() {
   byPrefix.reserve(serviceRules.size());
   for (const ServiceRulePtr &it : serviceRules)
--- a/src/version/Configuration.h
+++ b/src/version/Configuration.h
@@ -100,6 +100,16 @@
    * number and port; nullptr if there is none. */
   const VmRule *findVmOut(const Address &address) const;
 
+  /** True if there are teams. Calls then carry keys, which are for the nodes
+   * alone. */
+  bool hasTeams() const { return !teams.empty(); }
+
+  /** The team that holds the key with this digest; nullptr if none does. */
+  const TeamRule *findTeam(const std::string &keyDigest) const;
+
+  /** All teams, by name. */
+  const std::map<std::string, TeamRule> &teamRules() const { return teams; }
+
   /** True if a rule allows the request with this fingerprint although it is
    * suspected of crashing targets. */
   bool isAllowed(std::uint64_t fingerprint) const {
@@ -128,6 +138,9 @@
   MeasureRule measureRule;
   std::set<std::uint64_t> allowedRequests;
   std::map<std::string, TargetTraits> targetTraits;
+  std::map<std::string, TeamRule> teams;
+  /** By the digest of a key; entries of \ref teams. */
+  std::unordered_map<std::string, const TeamRule *> teamsByKey;
 
   void addRule(ServiceRule rule) {
     serviceRules.emplace_back(new SharedServiceRule(std::move(rule)));
@@ -139,6 +152,7 @@
     allowedRequests.insert(rule.fingerprint);
   }
   void addRule(TargetTraits traits);
+  void addRule(TeamRule rule);
   Findings addRecords(const Configuration &previous);
   Findings addRecord(std::string_view line);
   void indexServices();
--- a/src/version/Rule.h
+++ b/src/version/Rule.h
@@ -61,6 +61,8 @@
   /** The services among which calls are split by weight; if empty, all calls go
    * to the service of this rule. */
   std::vector<WeightedService> trafficSplit;
+  /** True if a call needs the key of a team; others are denied. */
+  bool needsTeamKey = false;
 
   /** True if calls are recorded in the claims table before they run. */
   bool needsClaim() const { return isOnce && !idempotencyKeyHeader.empty(); }
@@ -97,6 +99,25 @@
   std::uint64_t fingerprint = 0;
 };
 
+/** A team whose callers prove themselves with a key. */
+struct TeamRule {
+  RuleOrigin origin;
+  std::string name;
+  /** SHA-256 of each key in hexadecimal, see digestOf(). The keys themselves
+   * are not kept. */
+  std::vector<std::string> keyDigests;
+  /** Takes precedence over the priority of the service rule, if it is set. */
+  std::optional<unsigned> priority;
+  /** Calls per second that all nodes together pass on for the team, besides the
+   * burst; 0 if there is no limit. */
+  double callsPerSecond = 0;
+  /** Calls that may come at once after a pause. */
+  double burst = 0;
+
+  /** True if the number of calls is limited. */
+  bool hasQuota() const { return callsPerSecond > 0; }
+};
+
 /** Configured properties of all targets of a service, which are known before a
  * target announces itself. */
 struct TargetTraits {
@@ -110,8 +131,8 @@
 };
 
 /** Any rule. */
-using Rule =
-    std::variant<ServiceRule, DomainRule, VmRule, MeasureRule, AllowRule>;
+using Rule = std::variant<ServiceRule, DomainRule, VmRule, MeasureRule,
+                          AllowRule, TeamRule>;
 
 } // namespace plantainhatch
 
--- a/src/version/RuleLineParser.cpp
+++ b/src/version/RuleLineParser.cpp
@@ -86,14 +86,16 @@
       Keyword{"domain", &RuleLineParser::parseDomain},
       Keyword{"vm", &RuleLineParser::parseVm},
       Keyword{"measure", &RuleLineParser::parseMeasure},
-      Keyword{"allow", &RuleLineParser::parseAllow}};
+      Keyword{"allow", &RuleLineParser::parseAllow},
+      Keyword{"team", &RuleLineParser::parseTeam}};
   const Token first = expect("a rule");
   const auto *const it =
       std::ranges::find(Keywords, first.text, &Keyword::name);
   if (it == Keywords.end()) {
-    report(first.column,
-           quoted(first.text) +
-               " is not a rule; use service, domain, vm, measure or allow");
+    report(
+        first.column,
+        quoted(first.text) +
+            " is not a rule; use service, domain, vm, measure, allow or team");
     parseOrigin();
     return std::nullopt;
   }
@@ -132,9 +134,12 @@
     if (!rule.isOnce)
       report(token.column, "'key' needs 'once' before it");
     rule.idempotencyKeyHeader = header.text;
+  } else if (token.text == "teams") {
+    rule.needsTeamKey = true;
   } else {
     report(token.column,
-           quoted(token.text) + " is not an option; use once, key or timeout");
+           quoted(token.text) +
+               " is not an option; use once, key, teams or timeout");
   }
 }
 
@@ -187,6 +192,46 @@
   return rule;
 }
 
+Rule RuleLineParser::parseTeam() {
+  TeamRule rule;
+  rule.name = expectName("the team's name");
+  while (!isAtEnd())
+    parseTeamOption(rule);
+  rule.origin = parseOrigin();
+  return rule;
+}
+
+void RuleLineParser::parseTeamOption(TeamRule &rule) {
+  const Token token = expect("an option");
+  if (token.text == "key") {
+    rule.keyDigests.push_back(expectKeyDigest());
+  } else if (token.text == "priority") {
+    rule.priority = expectNumber("a priority, such as 1");
+  } else if (token.text == "rate") {
+    rule.callsPerSecond = expectRate("calls per second, such as 50/s");
+    expectKeyword("burst");
+    rule.burst = expectNumber("calls, such as 50");
+  } else {
+    report(token.column,
+           quoted(token.text) + " is not an option; use key, priority or rate");
+  }
+}
+
+std::string RuleLineParser::expectKeyDigest() {
+  constexpr std::size_t DigestCharacters = 64;
+  const Token token = expect("the SHA-256 of a key, in hexadecimal");
+  const bool isDigest =
+      token.text.size() == DigestCharacters &&
+      std::ranges::all_of(token.text, [](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+      });
+  // What stands here may be a key, which must not come into a message.
+  if (!token.text.empty() && !isDigest)
+    report(token.column, "is not a SHA-256 in lower-case hexadecimal; write "
+                         "the digest of the key, not the key");
+  return std::string(token.text);
+}
+
 RuleOrigin RuleLineParser::parseOrigin() {
   if (line.author.empty())
     report(line.authorColumn,
@@ -266,6 +311,17 @@
   return static_cast<std::uint32_t>(rate);
 }
 
+std::uint32_t RuleLineParser::expectNumber(const std::string &what) {
+  const Token token = expect(what);
+  if (token.text.empty())
+    return 0;
+  const auto quantity = splitQuantity(token.text);
+  if (quantity && quantity->unit.empty())
+    return quantity->number;
+  report(token.column, quoted(token.text) + " is not a number of " + what);
+  return 0;
+}
+
 void RuleLineParser::expectEnd() {
   if (isAtEnd())
     return;
--- a/src/version/RuleLineParser.h
+++ b/src/version/RuleLineParser.h
@@ -41,8 +41,10 @@
   Rule parseVm();
   Rule parseMeasure();
   Rule parseAllow();
+  Rule parseTeam();
 
   void parseServiceOption(ServiceRule &rule);
+  void parseTeamOption(TeamRule &rule);
   RuleOrigin parseOrigin();
   /** Takes the next token. At the end of the line reports that \p what is
    * missing and returns a token without text. */
@@ -53,6 +55,8 @@
   std::string expectName(const std::string &what);
   std::chrono::milliseconds expectTimeout();
   std::uint32_t expectRate(const std::string &what);
+  std::uint32_t expectNumber(const std::string &what);
+  std::string expectKeyDigest();
   void expectEnd();
   void report(std::size_t column, std::string message);
   bool isAtEnd() const { return position >= line.tokens.size(); }
--- a/src/version/RuleRecord.cpp
+++ b/src/version/RuleRecord.cpp
@@ -10,22 +10,28 @@
 
 constexpr std::string_view ServicePrefix = "service ";
 constexpr std::string_view TraitsPrefix = "traits ";
+constexpr std::string_view TeamPrefix = "team ";
 
 json::array toJson(const ServiceRule &rule) {
   json::array split;
   for (const WeightedService &it : rule.trafficSplit)
     split.push_back(json::array{it.service, it.weight});
-  return {rule.name,
-          rule.host,
-          rule.pathPrefix,
-          rule.isRetryable ? json::value(*rule.isRetryable) : json::value(),
-          rule.timeout.count(),
-          rule.attempts,
-          rule.priority,
-          rule.targetLatency ? json::value(rule.targetLatency->count())
-                             : json::value(),
-          std::move(split),
-          rule.origin.author};
+  json::array fields{
+      rule.name,
+      rule.host,
+      rule.pathPrefix,
+      rule.isRetryable ? json::value(*rule.isRetryable) : json::value(),
+      rule.timeout.count(),
+      rule.attempts,
+      rule.priority,
+      rule.targetLatency ? json::value(rule.targetLatency->count())
+                         : json::value(),
+      std::move(split),
+      rule.origin.author};
+  // Left out where it is false, so that rules without teams keep their text.
+  if (rule.needsTeamKey)
+    fields.emplace_back(true);
+  return fields;
 }
 
 json::array toJson(const DomainRule &rule) {
@@ -37,9 +43,23 @@
           traits.connectionLimit};
 }
 
+json::array toJson(const TeamRule &rule) {
+  json::array digests;
+  for (const std::string &it : rule.keyDigests)
+    digests.emplace_back(it);
+  return {rule.name,
+          std::move(digests),
+          rule.priority ? json::value(*rule.priority) : json::value(),
+          rule.callsPerSecond,
+          rule.burst,
+          rule.origin.author};
+}
+
 std::string_view prefixOf(const RuleRecord &record) {
   if (std::holds_alternative<ServiceRule>(record))
     return ServicePrefix;
+  if (std::holds_alternative<TeamRule>(record))
+    return TeamPrefix;
   return std::holds_alternative<DomainRule>(record) ? DomainRecordPrefix
                                                     : TraitsPrefix;
 }
@@ -51,6 +71,7 @@
   explicit FieldReader(const json::value &fields) : fields(fields.as_array()) {}
 
   const json::value &next() { return fields.at(n++); }
+  bool hasNext() const { return n < fields.size(); }
   std::string text() { return std::string(next().as_string()); }
   template <std::integral T> T integer() { return next().to_number<T>(); }
 
@@ -79,6 +100,7 @@
     rule.trafficSplit.push_back({std::move(service), part.integer<unsigned>()});
   }
   rule.origin.author = reader.text();
+  rule.needsTeamKey = reader.hasNext() && reader.next().as_bool();
   return rule;
 }
 
@@ -100,6 +122,20 @@
   return traits;
 }
 
+TeamRule readTeam(const json::value &fields) {
+  FieldReader reader(fields);
+  TeamRule rule;
+  rule.name = reader.text();
+  for (const json::value &it : reader.next().as_array())
+    rule.keyDigests.emplace_back(it.as_string());
+  if (const json::value &priority = reader.next(); !priority.is_null())
+    rule.priority = priority.to_number<unsigned>();
+  rule.callsPerSecond = reader.next().to_number<double>();
+  rule.burst = reader.next().to_number<double>();
+  rule.origin.author = reader.text();
+  return rule;
+}
+
 } // namespace
 
 std::string encodeRecord(const RuleRecord &record) {
@@ -123,11 +159,16 @@
       return readDomain(parse(DomainRecordPrefix));
     if (isOf(TraitsPrefix))
       return readTraits(parse(TraitsPrefix));
+    if (isOf(TeamPrefix))
+      return readTeam(parse(TeamPrefix));
   } catch (const std::exception &error) {
     return Findings{{"record", 0, 0, {}, error.what()}};
   }
-  return Findings{
-      {"record", 0, 0, {}, "starts neither with service, domain nor traits"}};
+  return Findings{{"record",
+                   0,
+                   0,
+                   {},
+                   "starts neither with service, domain, traits nor team"}};
 }
 
 } // namespace plantainhatch
--- a/src/version/RuleRecord.h
+++ b/src/version/RuleRecord.h
@@ -14,7 +14,8 @@
 namespace plantainhatch {
 
 /** A rule that one line of text can hold. */
-using RuleRecord = std::variant<ServiceRule, DomainRule, TargetTraits>;
+using RuleRecord =
+    std::variant<ServiceRule, DomainRule, TargetTraits, TeamRule>;
 
 /** Start of the lines of domain rules. */
 inline constexpr std::string_view DomainRecordPrefix = "domain ";
--- a/src/version/findDuplicateRules.cpp
+++ b/src/version/findDuplicateRules.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 /** Returns the subjects of a rule. No two rules may have the same subject. A
- * service rule has two: its name and its path prefix. */
+ * service rule has two: its name and its path prefix. A team has its name and
+ * its keys. */
 struct SubjectVisitor {
   std::vector<std::string> operator()(const ServiceRule &rule) const {
     return {"service " + rule.name, "path " + rule.pathPrefix};
@@ -25,6 +26,12 @@
   std::vector<std::string> operator()(const AllowRule &rule) const {
     return {"request " + std::to_string(rule.fingerprint)};
   }
+  std::vector<std::string> operator()(const TeamRule &rule) const {
+    std::vector<std::string> subjects{"team " + rule.name};
+    for (const std::string &it : rule.keyDigests)
+      subjects.push_back("key " + it);
+    return subjects;
+  }
 };
 
 std::size_t lineOf(const Rule &rule) {
--- a/test/error/RuleFaultsTest.cpp
+++ b/test/error/RuleFaultsTest.cpp
@@ -49,6 +49,13 @@
     {"vm 1.2.3.4 out # T\nvm 1.2.3.4 out # T\n", 2, 1, "is already defined"},
     {"measure rate 1/s bytes 1/s # T\nmeasure rate 1/s bytes 1/s # T\n", 2, 1,
      "is already defined"},
+    {"team # T\n", 1, 5, "expected the team's name"},
+    {"team a key secret # T\n", 1, 12, "write the digest of the key"},
+    {"team a rate 5 burst 5 # T\n", 1, 13, "is not a number of"},
+    {"team a rate 5/s # T\n", 1, 16, "expected 'burst'"},
+    {"team a priority high # T\n", 1, 17, "is not a number of"},
+    {"team a limit 5 # T\n", 1, 8, "is not an option"},
+    {"team a # T\nteam a # T\n", 2, 1, "'team a' is already defined"},
 };
 
 } // namespace
--- a/test/platform/OutdatedVersionTest.cpp
+++ b/test/platform/OutdatedVersionTest.cpp
@@ -66,7 +66,7 @@
     const auto *const query =
         message ? std::get_if<RuleQuery>(&message->body) : nullptr;
     if (query != nullptr && !record.empty())
-      send(RuleAnswer{query->nonce, version, record});
+      send(RuleAnswer{query->nonce, version, record, {}, RuleAnswer::NoProof});
   }
 
   MessageCodec codec{"0123456789abcdef"};
