Run safe requests of one connection at once, and count their time from reading

Change: requests for which a predicate of HttpServer::listen holds run at the same time, 16 of a connection at most; answers are kept until those before have left. Others run in turn. A call's time begins when the bytes of its request were read (IncomingCall::readAt); one whose time has passed before it is begun is answered 504 not-run. Nothing more is taken in from a connection while its requests and answers hold 256 KiB. The time that a claim is given is what is left of the call's.

--- /dev/null
+++ b/src/connection/AnswerSlot.h
@@ -0,0 +1,41 @@
+/** \file
+ * The place of one request in the line of its connection. */
+#ifndef PLANTAINHATCH_CONNECTION_ANSWERSLOT_H
+#define PLANTAINHATCH_CONNECTION_ANSWERSLOT_H
+
+#include "connection/IncomingCall.h"
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace plantainhatch {
+
+/** A request that was read and has not been answered in full, and what of its
+ * answer waits for those before it. Used on the main loop only. */
+struct AnswerSlot {
+  /** Null once the answer is complete. */
+  IncomingCall *call = nullptr;
+  /** Set until the request is begun. */
+  IncomingCallPtr waiting;
+  /** What the request has allocated. */
+  std::size_t requestBytes = 0;
+  /** What is to be sent when all before has left. */
+  std::string held;
+  /** Called when \ref held has left. */
+  std::function<void()> written;
+  /** True if requests behind this one may run beside it. */
+  bool runsBeside = false;
+  bool isEnded = false;
+  bool mustClose = false;
+
+  /** True if the connection is closed behind this answer. */
+  bool closes() const {
+    return mustClose || (call != nullptr && call->closesConnection());
+  }
+  std::size_t bytes() const { return requestBytes + held.capacity(); }
+};
+
+} // namespace plantainhatch
+
+#endif
--- a/src/connection/HttpServer.cpp
+++ b/src/connection/HttpServer.cpp
@@ -7,12 +7,13 @@
 
 Checked<std::unique_ptr<HttpServer>>
 HttpServer::listen(const Address &address, const std::string &field,
-                   Handler handler) {
-  std::unique_ptr<HttpServer> server(new HttpServer(std::move(handler)));
+                   Handler handler, Predicate mayRunBeside) {
+  std::unique_ptr<HttpServer> server(
+      new HttpServer(std::move(handler), std::move(mayRunBeside)));
   auto socket = ListeningSocket::listen(
       address, field, [raw = server.get()](StreamSocket connection) {
-        raw->connections.push_back(
-            *ServerConnection::serve(std::move(connection), raw->handler));
+        raw->connections.push_back(*ServerConnection::serve(
+            std::move(connection), raw->handler, raw->mayRunBeside));
       });
   if (!socket)
     return std::move(socket).error();
--- a/src/connection/HttpServer.h
+++ b/src/connection/HttpServer.h
@@ -20,11 +20,15 @@
 class HttpServer {
 public:
   using Handler = ServerConnection::Handler;
+  using Predicate = ServerConnection::Predicate;
 
-  /** Listens. \return the server, or a finding for \p field if the address
-   * cannot be used. */
+  /** Listens. \param mayRunBeside tells whether a request may run at the same
+   * time as others of its connection for which it holds as well. Without it,
+   * the requests of a connection run in turn. \return the server, or a finding
+   * for \p field if the address cannot be used. */
   static Checked<std::unique_ptr<HttpServer>>
-  listen(const Address &address, const std::string &field, Handler handler);
+  listen(const Address &address, const std::string &field, Handler handler,
+         Predicate mayRunBeside = nullptr);
 
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
@@ -38,10 +42,12 @@
                              boost::intrusive::constant_time_size<false>>;
 
   Handler handler;
+  Predicate mayRunBeside;
   std::unique_ptr<ListeningSocket> socket;
   ConnectionList connections;
 
-  explicit HttpServer(Handler handler) : handler(std::move(handler)) {}
+  HttpServer(Handler handler, Predicate mayRunBeside)
+      : handler(std::move(handler)), mayRunBeside(std::move(mayRunBeside)) {}
 };
 
 } // namespace plantainhatch
--- a/src/connection/IncomingCall.cpp
+++ b/src/connection/IncomingCall.cpp
@@ -24,9 +24,9 @@
 } // namespace
 
 IncomingCall::IncomingCall(boost::intrusive_ptr<ServerConnection> from,
-                           CallRequest request)
+                           CallRequest request, TimePoint readAt)
     : connection(std::move(from)), callRequest(std::move(request)),
-      peer(connection->peer()) {}
+      arrival(readAt), peer(connection->peer()) {}
 
 IncomingCall::~IncomingCall() {
   // Dropped without an answer: nobody could give one any more.
@@ -38,6 +38,10 @@
   return !connection || connection->hasPeerClosed();
 }
 
+bool IncomingCall::isBehindOthers() const {
+  return connection && connection->isBehindOthers(*this);
+}
+
 std::string IncomingCall::makeHead(unsigned status,
                                    const HeaderList &headers) const {
   std::string head =
@@ -53,21 +57,19 @@
                          const std::string &body) {
   if (!connection)
     return;
-  mustClose = mustClose || !connection->keepsAlive();
   std::string bytes = makeHead(status, headers);
   if (mayHaveBody(status))
     bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   bytes += "\r\n";
   if (callRequest.method != "HEAD" && mayHaveBody(status))
     bytes += body;
-  connection->send(bytes);
+  connection->send(*this, bytes);
   finish();
 }
 
 void IncomingCall::startStream(const AnswerHead &head) {
   if (!connection)
     return;
-  mustClose = mustClose || !connection->keepsAlive();
   std::string bytes = makeHead(head.status, head.headers);
   isChunked = !head.contentLength && mayHaveBody(head.status) &&
               callRequest.method != "HEAD";
@@ -75,7 +77,7 @@
     bytes += "Content-Length: " + std::to_string(*head.contentLength) + "\r\n";
   else if (isChunked)
     bytes += "Transfer-Encoding: chunked\r\n";
-  connection->send(bytes + "\r\n");
+  connection->send(*this, bytes + "\r\n");
 }
 
 void IncomingCall::writeChunk(GBytes *bytes, Action written) {
@@ -91,27 +93,27 @@
                                    framed.size(), Hexadecimal);
     framed = std::string(size.data(), end.ptr) + "\r\n" + framed + "\r\n";
   }
-  connection->sendThen(framed, std::move(written));
+  connection->sendThen(*this, framed, std::move(written));
 }
 
 void IncomingCall::endStream() {
   if (!connection)
     return;
   if (isChunked)
-    connection->send("0\r\n\r\n");
+    connection->send(*this, "0\r\n\r\n");
   finish();
 }
 
 void IncomingCall::finish() {
   goneAction = nullptr;
   if (const auto from = std::exchange(connection, nullptr))
-    from->onAnswered(mustClose);
+    from->onAnswered(*this);
 }
 
 void IncomingCall::abort() {
   goneAction = nullptr;
   if (const auto from = std::exchange(connection, nullptr))
-    from->reset();
+    from->onAborted(*this);
 }
 
 void IncomingCall::leave() {
--- a/src/connection/IncomingCall.h
+++ b/src/connection/IncomingCall.h
@@ -3,6 +3,7 @@
 #ifndef PLANTAINHATCH_CONNECTION_INCOMINGCALL_H
 #define PLANTAINHATCH_CONNECTION_INCOMINGCALL_H
 
+#include "base/Time.h"
 #include "connection/AnswerSource.h"
 #include "request/CallRequest.h"
 
@@ -22,7 +23,7 @@
   using Action = std::function<void()>;
 
   IncomingCall(boost::intrusive_ptr<ServerConnection> connection,
-               CallRequest request);
+               CallRequest request, TimePoint readAt);
   ~IncomingCall();
   IncomingCall(const IncomingCall &) = delete;
   IncomingCall &operator=(const IncomingCall &) = delete;
@@ -30,6 +31,12 @@
   IncomingCall &operator=(IncomingCall &&) = delete;
 
   const CallRequest &request() const { return callRequest; }
+  /** When the last bytes of the request were read. It may have waited since for
+   * others on its connection. */
+  TimePoint readAt() const { return arrival; }
+  /** True if requests that came before on the connection have not been
+   * answered. */
+  bool isBehindOthers() const;
   /** The IP number of the other side. */
   std::string remoteHost() const { return peer.host; }
 
@@ -59,8 +66,10 @@
    * whole. */
   void abort();
 
-  /** Closes the connection after this answer. */
+  /** Closes the connection after this answer. Requests that were sent behind
+   * this one are neither begun from now on nor answered. */
   void closeAfterAnswer() { mustClose = true; }
+  bool closesConnection() const { return mustClose; }
 
 private:
   friend class ServerConnection;
@@ -68,6 +77,7 @@
   /** Null once the answer is complete or the connection is gone. */
   boost::intrusive_ptr<ServerConnection> connection;
   CallRequest callRequest;
+  TimePoint arrival;
   Address peer;
   Action goneAction;
   bool mustClose = false;
--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -6,6 +6,9 @@
 
 #include <sys/epoll.h>
 
+#include <algorithm>
+#include <cassert>
+#include <numeric>
 #include <utility>
 
 namespace plantainhatch {
@@ -20,6 +23,16 @@
  * left to answers and to small requests. */
 constexpr std::size_t LongBodyLimit = BufferBudget::Limit / 4 * 3;
 
+std::size_t bytesOf(const CallRequest &request) {
+  return std::accumulate(request.headers.begin(), request.headers.end(),
+                         request.target.capacity() + request.body.capacity(),
+                         [](std::size_t sum, const auto &header) {
+                           return sum + sizeof(header) +
+                                  header.first.capacity() +
+                                  header.second.capacity();
+                         });
+}
+
 bool mustMakeRoom(std::size_t bodyBytes) {
   const BufferBudget &budget = BufferBudget::instance();
   return bodyBytes > SmallBodyBytes ? budget.usedBytes() >= LongBodyLimit
@@ -29,9 +42,10 @@
 } // namespace
 
 ConnectionPtr ServerConnection::serve(StreamSocket socket,
-                                      const Handler &handler) {
+                                      const Handler &handler,
+                                      const Predicate &mayRunBeside) {
   const ConnectionPtr connection(
-      new ServerConnection(std::move(socket), handler));
+      new ServerConnection(std::move(socket), handler, mayRunBeside));
   // Released by end().
   intrusive_ptr_add_ref(connection.get());
   connection->socket.watch(*connection, EPOLLRDHUP);
@@ -39,8 +53,10 @@
 }
 
 ServerConnection::ServerConnection(StreamSocket newSocket,
-                                   const Handler &handler)
-    : socket(std::move(newSocket)), handler(&handler) {}
+                                   const Handler &handler,
+                                   const Predicate &mayRunBeside)
+    : socket(std::move(newSocket)), handler(&handler),
+      mayRunBeside(&mayRunBeside) {}
 
 void ServerConnection::onReady(std::uint32_t events) {
   const ConnectionPtr self(this);
@@ -49,7 +65,7 @@
   hasPeerEnded =
       hasPeerEnded || (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
   if ((events & EPOLLOUT) != 0 && !socket.flush()) {
-    onBroken();
+    breakOff(false);
     return;
   }
   if (!socket.hasQueued() && writtenAction)
@@ -58,7 +74,7 @@
     readMore();
   if (isDone)
     return;
-  if (isClosing && !isLingering && call == nullptr && !socket.hasQueued())
+  if (isClosing && !isLingering && line.empty() && !socket.hasQueued())
     linger();
   else
     parse();
@@ -72,6 +88,7 @@
   while (input.size() < MaxReadAhead) {
     const auto result = socket.read(input, ReadBytes);
     if (result == StreamSocket::ReadResult::Bytes) {
+      readAt = std::chrono::steady_clock::now();
       if (isLingering)
         input.clear();
       continue;
@@ -79,7 +96,7 @@
     if (result == StreamSocket::ReadResult::End)
       hasPeerEnded = true;
     else if (result == StreamSocket::ReadResult::Broken)
-      onBroken();
+      breakOff(false);
     break;
   }
   if (isDone)
@@ -90,13 +107,32 @@
     onPeerEnded();
 }
 
+bool ServerConnection::hasRoom() const {
+  const std::size_t held = lineBytes() + socket.queuedBytes();
+  if (line.empty())
+    return held < MaxHeldBytes;
+  return line.size() < MaxRequests &&
+         held + reader.body.size() < MaxHeldBytes &&
+         !BufferBudget::instance().isExhausted();
+}
+
+bool ServerConnection::mayParse() const {
+  if (isDone || isClosing || hasPeerEnded || !hasRoom())
+    return false;
+  return line.empty() || (!isAskedToContinue && !line.back().closes());
+}
+
 void ServerConnection::parse() {
   if (std::exchange(isParsing, true))
     return;
   const ConnectionPtr self(this);
-  while (!isDone && call == nullptr && !isClosing && !hasPeerEnded &&
-         !input.empty() && parseOne()) {
+  // A request that was not taken in for a while has its time again.
+  if (isHeldBack && arrivalTimer.isRunning())
+    startArrivalTimer();
+  sendContinue();
+  while (mayParse() && !input.empty() && parseOne()) {
   }
+  isHeldBack = !mayParse();
   isParsing = false;
   if (!isDone && input.size() < MaxReadAhead && !hasPeerEnded)
     socket.setReading(true);
@@ -113,13 +149,23 @@
   if (!hadHead && reader.state() == HttpMessageReader::State::Body &&
       findHeader(reader.headers, "Expect") &&
       reader.contentLength.value_or(0) <= MaxBodyBytes)
-    send("HTTP/1.1 100 Continue\r\n\r\n");
+    isAskedToContinue = true;
+  sendContinue();
+  if (isDone)
+    return false;
   const auto before = reader.state();
   updateArrivalTimer(hadHead);
   onReaderState();
   return before == HttpMessageReader::State::Complete;
 }
 
+void ServerConnection::sendContinue() {
+  if (!isAskedToContinue || !mayParse())
+    return;
+  isAskedToContinue = false;
+  write("HTTP/1.1 100 Continue\r\n\r\n", nullptr);
+}
+
 void ServerConnection::onReaderState() {
   using State = HttpMessageReader::State;
   const bool isTooLarge =
@@ -149,20 +195,35 @@
       reader.state() == State::Body;
   if (!isArriving)
     arrivalTimer.stop();
-  else if (!hadHead && reader.hasHead())
-    arrivalTimer.startOnce(MaxArrivalTime, [this] { onArrivalTimeout(); });
-  else if (!arrivalTimer.isRunning())
-    arrivalTimer.startOnce(MaxHeadTime, [this] { onArrivalTimeout(); });
+  else if (!arrivalTimer.isRunning() || (!hadHead && reader.hasHead()))
+    startArrivalTimer();
+}
+
+void ServerConnection::startArrivalTimer() {
+  arrivalTimer.startOnce(reader.hasHead() ? Duration(MaxArrivalTime)
+                                          : Duration(MaxHeadTime),
+                         [this] { onArrivalTimeout(); });
 }
 
 void ServerConnection::onArrivalTimeout() {
-  if (call == nullptr && !isDone && !isClosing)
+  if (isDone || isClosing)
+    return;
+  // While nothing is taken in, the request cannot arrive.
+  if (!mayParse())
+    startArrivalTimer();
+  else
     refuse(httpStatus::RequestTimeout,
            "the request has not arrived whole in time\n");
 }
 
 void ServerConnection::chargeBuffers() {
-  charge.set(input.capacity() + reader.body.capacity() + servedBodyBytes);
+  charge.set(input.capacity() + reader.body.capacity() + lineBytes());
+}
+
+std::size_t ServerConnection::lineBytes() const {
+  return std::accumulate(
+      line.begin(), line.end(), std::size_t{0},
+      [](std::size_t sum, const AnswerSlot &it) { return sum + it.bytes(); });
 }
 
 void ServerConnection::handOver() {
@@ -170,11 +231,30 @@
   request.method = reader.method();
   request.target = std::move(reader.target);
   request.headers = std::move(reader.headers);
-  servedBodyBytes = reader.body.capacity();
   request.body = std::exchange(reader.body, {});
-  const IncomingCallPtr incoming(new IncomingCall(this, std::move(request)));
-  call = incoming.get();
-  (*handler)(incoming);
+  const std::size_t bytes = bytesOf(request);
+  const IncomingCallPtr call(
+      new IncomingCall(this, std::move(request), readAt));
+  if (!reader.keepsAlive())
+    call->closeAfterAnswer();
+  reader.restart();
+  AnswerSlot &slot = enqueue(call);
+  slot.waiting = call;
+  slot.requestBytes = bytes;
+  chargeBuffers();
+  advance();
+}
+
+AnswerSlot &ServerConnection::enqueue(const IncomingCallPtr &call) {
+  line.emplace_back().call = call.get();
+  return line.back();
+}
+
+std::list<AnswerSlot>::iterator
+ServerConnection::slotOf(const IncomingCall &call) {
+  const auto slot = std::ranges::find(line, &call, &AnswerSlot::call);
+  assert(slot != line.end() && "a call that can answer is in the line");
+  return slot;
 }
 
 void ServerConnection::refuse(unsigned status, const std::string &text,
@@ -183,18 +263,16 @@
   chargeBuffers();
   list.emplace_back(headers::Outcome, toString(Outcome::NotRun));
   list.emplace_back("Content-Type", "text/plain");
-  const IncomingCallPtr incoming(new IncomingCall(this, {}));
-  call = incoming.get();
+  const IncomingCallPtr incoming(new IncomingCall(this, {}, readAt));
+  enqueue(incoming);
   incoming->closeAfterAnswer();
   incoming->reply(status, list, text);
 }
 
-void ServerConnection::sendThen(std::string_view bytes, Action written) {
-  if (isDone)
-    return;
+void ServerConnection::write(std::string_view bytes, Action written) {
   const ConnectionPtr self(this);
   if (!socket.write(bytes)) {
-    onBroken();
+    breakOff(false);
     return;
   }
   if (!written)
@@ -205,19 +283,35 @@
     written();
 }
 
-void ServerConnection::onAnswered(bool mustClose) {
-  call = nullptr;
+void ServerConnection::sendThen(const IncomingCall &call,
+                                std::string_view bytes, Action written) {
   if (isDone)
     return;
-  const ConnectionPtr self(this);
-  if (mustClose || isClosing) {
-    isClosing = true;
-    if (!socket.hasQueued())
-      linger();
+  const auto slot = slotOf(call);
+  if (slot == line.begin() && slot->held.empty() && !slot->written) {
+    write(bytes, std::move(written));
     return;
   }
-  reader.restart();
-  servedBodyBytes = 0;
+  slot->held += bytes;
+  if (written)
+    slot->written = std::move(written);
+  chargeBuffers();
+}
+
+void ServerConnection::onAnswered(const IncomingCall &call) {
+  if (isDone)
+    return;
+  const ConnectionPtr self(this);
+  const auto slot = slotOf(call);
+  slot->mustClose = slot->closes();
+  slot->call = nullptr;
+  slot->isEnded = true;
+  slot->requestBytes = 0;
+  if (slot->mustClose)
+    dropFrom(std::next(slot));
+  advance();
+  if (isDone)
+    return;
   chargeBuffers();
   if (hasPeerEnded)
     onPeerEnded();
@@ -225,40 +319,108 @@
     parse();
 }
 
-void ServerConnection::onPeerEnded() {
-  hasPeerEnded = true;
-  if (call != nullptr) {
-    IncomingCall *const gone = std::exchange(call, nullptr);
-    const IncomingCallPtr held(gone);
-    const ConnectionPtr self(this);
-    socket.reset();
-    end();
-    held->leave();
+void ServerConnection::onAborted(const IncomingCall &call) {
+  if (isDone)
+    return;
+  const auto slot = slotOf(call);
+  slot->call = nullptr;
+  if (slot == line.begin()) {
+    breakOff(true);
     return;
   }
-  end();
+  slot->written = nullptr;
+  slot->isEnded = true;
+  slot->mustClose = true;
+  dropFrom(std::next(slot));
 }
 
-void ServerConnection::onBroken() {
+void ServerConnection::advance() {
+  if (std::exchange(isAdvancing, true))
+    return;
   const ConnectionPtr self(this);
-  const IncomingCallPtr held(std::exchange(call, nullptr));
-  end();
-  if (held)
-    held->leave();
+  while (!isDone && (deliverFront() || beginNext())) {
+  }
+  isAdvancing = false;
 }
 
-void ServerConnection::reset() {
-  call = nullptr;
-  if (isDone)
-    return;
-  socket.reset();
+bool ServerConnection::deliverFront() {
+  if (line.empty())
+    return false;
+  // Stays valid, as only this function takes the front out of the line of a
+  // connection that goes on.
+  AnswerSlot &front = line.front();
+  if (!front.held.empty() || front.written) {
+    const std::string bytes = std::exchange(front.held, {});
+    write(bytes, std::exchange(front.written, nullptr));
+  }
+  if (isDone || !front.isEnded)
+    return false;
+  isClosing = isClosing || front.mustClose;
+  line.pop_front();
+  chargeBuffers();
+  if (isClosing && line.empty() && !socket.hasQueued())
+    linger();
+  return true;
+}
+
+bool ServerConnection::beginNext() {
+  if (hasPeerEnded)
+    return false;
+  const auto next = std::ranges::find_if(line, [](const AnswerSlot &it) {
+    return it.waiting || !it.runsBeside || it.closes();
+  });
+  if (next == line.end() || !next->waiting)
+    return false;
+  next->runsBeside = *mayRunBeside && (*mayRunBeside)(next->waiting->request());
+  if (!next->runsBeside && next != line.begin())
+    return false;
+  (*handler)(std::exchange(next->waiting, nullptr));
+  return true;
+}
+
+std::vector<IncomingCallPtr>
+ServerConnection::takeFrom(std::list<AnswerSlot>::iterator first) {
+  std::vector<IncomingCallPtr> taken;
+  for (auto it = first; it != line.end(); ++it)
+    if (it->call != nullptr)
+      taken.emplace_back(it->call);
+  line.erase(first, line.end());
+  return taken;
+}
+
+void ServerConnection::dropFrom(std::list<AnswerSlot>::iterator first) {
+  for (const IncomingCallPtr &it : takeFrom(first))
+    it->leave();
+}
+
+void ServerConnection::breakOff(bool isReset) {
+  const ConnectionPtr self(this);
+  const auto gone = takeFrom(line.begin());
+  if (isReset)
+    socket.reset();
   end();
+  for (const IncomingCallPtr &it : gone)
+    it->leave();
+}
+
+void ServerConnection::onPeerEnded() {
+  hasPeerEnded = true;
+  breakOff(!line.empty());
 }
 
 void ServerConnection::closeWhenIdle() {
   isClosing = true;
-  if (call == nullptr && !socket.hasQueued())
-    linger();
+  dropFrom(std::ranges::find_if(
+      line, [](const AnswerSlot &it) { return it.waiting != nullptr; }));
+  if (line.empty()) {
+    if (!socket.hasQueued())
+      linger();
+    return;
+  }
+  AnswerSlot &last = line.back();
+  last.mustClose = true;
+  if (last.call != nullptr)
+    last.call->closeAfterAnswer();
 }
 
 void ServerConnection::linger() {
--- a/src/connection/ServerConnection.h
+++ b/src/connection/ServerConnection.h
@@ -3,19 +3,23 @@
 #ifndef PLANTAINHATCH_CONNECTION_SERVERCONNECTION_H
 #define PLANTAINHATCH_CONNECTION_SERVERCONNECTION_H
 
+#include "connection/AnswerSlot.h"
 #include "connection/HttpMessageReader.h"
-#include "connection/IncomingCall.h"
 #include "connection/StreamSocket.h"
 #include "connection/Timer.h"
 
 #include <boost/intrusive/list.hpp>
 
 #include <functional>
+#include <list>
 #include <string>
+#include <vector>
 
 namespace plantainhatch {
 
-/** Reads requests, hands over one at a time and sends the answers in order. It
+/** Reads requests, hands them over and sends the answers in order. Requests for
+ * which a predicate holds run at the same time; any other one is begun when all
+ * before it have been answered, and those behind it after its own answer. It
  * lives until it is closed. Used on the main loop only. */
 class ServerConnection
     : public boost::intrusive_ref_counter<ServerConnection,
@@ -25,12 +29,18 @@
       private ReadyHandler {
 public:
   using Handler = std::function<void(const IncomingCallPtr &)>;
+  using Predicate = std::function<bool(const CallRequest &)>;
   using Action = std::function<void()>;
 
   /** Bodies of requests are held in memory, as they may have to be sent again.
    */
   static constexpr std::size_t MaxBodyBytes = 1024UL * 1024;
-  /** What is read ahead while a request is being served. */
+  /** Requests that were taken in and not yet answered in full. */
+  static constexpr std::size_t MaxRequests = 16;
+  /** No further request is taken in while those of the connection, and answers
+   * that wait to be sent, hold as much. */
+  static constexpr std::size_t MaxHeldBytes = 256UL * 1024;
+  /** What is read ahead while no further request is taken in. */
   static constexpr std::size_t MaxReadAhead = 64UL * 1024;
   /** How long a request may take to arrive, from its first byte on. */
   static constexpr std::chrono::seconds MaxArrivalTime{60};
@@ -40,14 +50,17 @@
    * answer, so that this answer is not lost to a reset. */
   static constexpr std::chrono::seconds LingerTime{1};
 
-  /** Serves a connection. \param handler outlives it, or calls
-   * closeWhenIdle() before it ends. */
-  static boost::intrusive_ptr<ServerConnection> serve(StreamSocket socket,
-                                                      const Handler &handler);
+  /** Serves a connection. \param handler and \p mayRunBeside, which may be
+   * empty, outlive it, or closeWhenIdle() is called before they end. */
+  static boost::intrusive_ptr<ServerConnection>
+  serve(StreamSocket socket, const Handler &handler,
+        const Predicate &mayRunBeside);
 
   Address peer() const { return socket.peer(); }
-  /** True if the request under way allows another one after it. */
-  bool keepsAlive() const { return reader.keepsAlive() && !isClosing; }
+  /** True if requests before that of \p call have not been answered. */
+  bool isBehindOthers(const IncomingCall &call) const {
+    return !line.empty() && line.front().call != &call;
+  }
 
   /** True if the other side has closed, even if the main loop has not reported
    * it yet. */
@@ -55,51 +68,82 @@
     return isDone || hasPeerEnded || socket.hasPeerClosed();
   }
 
-  /** Sends bytes of an answer. */
-  void send(std::string_view bytes) { sendThen(bytes, nullptr); }
+  /** Sends bytes of an answer, or keeps them until all before it has left. */
+  void send(const IncomingCall &call, std::string_view bytes) {
+    sendThen(call, bytes, nullptr);
+  }
   /** Sends bytes and calls \p written when they have left. */
-  void sendThen(std::string_view bytes, Action written);
+  void sendThen(const IncomingCall &call, std::string_view bytes,
+                Action written);
   /** The answer is complete. */
-  void onAnswered(bool mustClose);
-  /** Ends the connection so that the other side sees a reset. */
-  void reset();
-  /** Takes no further requests. */
+  void onAnswered(const IncomingCall &call);
+  /** The answer stays incomplete. The connection ends, so that the other side
+   * sees a reset; if other answers are before this one, it is closed behind
+   * what there is of this one. */
+  void onAborted(const IncomingCall &call);
+  /** Begins no further requests. */
   void closeWhenIdle();
 
 private:
   StreamSocket socket;
   const Handler *handler;
+  const Predicate *mayRunBeside;
   HttpMessageReader reader{HTTP_REQUEST};
   /** Bytes that were read and not yet parsed. */
   std::string input;
-  IncomingCall *call = nullptr;
+  TimePoint readAt;
+  /** In the order of the requests. */
+  std::list<AnswerSlot> line;
   Action writtenAction;
   Timer lingerTimer;
   /** Runs while a request is arriving. */
   Timer arrivalTimer;
   BufferCharge charge;
-  /** Allocated by the body of the request that is being served. */
-  std::size_t servedBodyBytes = 0;
+  /** True while a request waits for an interim answer before its body. */
+  bool isAskedToContinue = false;
+  /** True while further requests are not taken in. */
+  bool isHeldBack = false;
+  bool isAdvancing = false;
   bool isClosing = false;
   bool isLingering = false;
   bool isParsing = false;
   bool isDone = false;
   bool hasPeerEnded = false;
 
-  ServerConnection(StreamSocket socket, const Handler &handler);
+  ServerConnection(StreamSocket socket, const Handler &handler,
+                   const Predicate &mayRunBeside);
 
   void onReady(std::uint32_t events) override;
   void readMore();
+  bool hasRoom() const;
+  bool mayParse() const;
   void parse();
   bool parseOne();
+  void sendContinue();
   void onReaderState();
   void updateArrivalTimer(bool hadHead);
+  void startArrivalTimer();
   void onArrivalTimeout();
   void chargeBuffers();
   void handOver();
+  /** Puts a call that was begun or not at the end of the line. */
+  AnswerSlot &enqueue(const IncomingCallPtr &call);
+  std::list<AnswerSlot>::iterator slotOf(const IncomingCall &call);
+  std::size_t lineBytes() const;
+  /** Sends what can be sent in order, and begins what may be begun. */
+  void advance();
+  /** \return true if an answer has left the line. */
+  bool deliverFront();
+  /** \return true if a request was begun. */
+  bool beginNext();
+  void write(std::string_view bytes, Action written);
+  std::vector<IncomingCallPtr> takeFrom(std::list<AnswerSlot>::iterator first);
+  /** Gives up requests without an answer. */
+  void dropFrom(std::list<AnswerSlot>::iterator first);
+  /** Gives up all requests and the connection. */
+  void breakOff(bool isReset);
   void refuse(unsigned status, const std::string &text, HeaderList list = {});
   void onPeerEnded();
-  void onBroken();
   void linger();
   void end();
 };
--- a/src/connection/StreamSocket.h
+++ b/src/connection/StreamSocket.h
@@ -52,6 +52,7 @@
    */
   bool flush();
   bool hasQueued() const { return sent < queued.size(); }
+  std::size_t queuedBytes() const { return queued.size() - sent; }
   /** True once any byte may have reached the other side. */
   bool hasSentAny() const { return sentAny; }
 
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -41,7 +41,7 @@
                          std::function<void()> onDone)
     : task(task), incoming(std::move(incomingCall)), onDone(std::move(onDone)),
       configuration(task.configuration.current()),
-      arrivedAt(NodeServices::now()) {}
+      arrivedAt(incoming->readAt()), begunAt(NodeServices::now()) {}
 
 void IngressCall::begin() {
   request = makeRequest();
@@ -61,11 +61,7 @@
     checkNewest();
 }
 
-std::string IngressCall::host() const {
-  const std::string name =
-      findHeader(request->headers, "Host").value_or(std::string());
-  return name.substr(0, name.find(':'));
-}
+std::string IngressCall::host() const { return IngressTask::hostOf(*request); }
 
 void IngressCall::findRule() {
   version = configuration->head().version;
@@ -202,6 +198,17 @@
     rejectForNow(std::string(toString(Refusal::Quarantined)));
     return;
   }
+  // A version that came into force since may say otherwise than the one by
+  // which the call was begun. It would run again if an answer before its own
+  // closes the connection.
+  if (!isIdempotent(*request, *rule) && incoming->isBehindOthers()) {
+    rejectForNow("sent-behind-others");
+    return;
+  }
+  if (NodeServices::now() >= deadline) {
+    perform(decision->onDeadline());
+    return;
+  }
   const CallPtr self(this);
   deadlineTimer.startOnce(std::max(deadline - NodeServices::now(), Duration()),
                           [self] { self->onDeadline(); });
@@ -254,8 +261,8 @@
   const CallPtr self(this);
   const WallTime wallDeadline =
       NodeServices::wallNow() +
-      std::chrono::duration_cast<std::chrono::milliseconds>(deadline -
-                                                            arrivedAt);
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          deadline - NodeServices::now());
   claim = Claim::start(
       task.services, claimKey(rule->name, key), *request, wallDeadline,
       [self](Claim::Result result) { self->onClaimResult(std::move(result)); });
@@ -439,7 +446,7 @@
   if (retryOnServerError(target, answer))
     return;
   decision->onAnswer(target);
-  task.stateOf(rule->name).latencies.record(NodeServices::now() - arrivedAt);
+  task.stateOf(rule->name).latencies.record(NodeServices::now() - begunAt);
   // The attempt stays in the map until the body has been read. Until then the
   // load estimate of the target includes this call, and cancelAttempts() takes
   // it out again if the call ends early.
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -57,7 +57,9 @@
   /** Not modified after the first dispatch. */
   std::shared_ptr<CallRequest> request;
   std::uint64_t fingerprint = 0;
+  /** When the request was read, which may be before the call was begun. */
   TimePoint arrivedAt;
+  TimePoint begunAt;
   TimePoint deadline;
   /** Null until the request has passed validation. */
   std::unique_ptr<CallDecision> decision;
--- a/src/node/IngressTask.cpp
+++ b/src/node/IngressTask.cpp
@@ -19,6 +19,20 @@
   IngressCall::start(*this, incoming, std::move(onDone));
 }
 
+std::string IngressTask::hostOf(const CallRequest &request) {
+  const std::string name =
+      findHeader(request.headers, "Host").value_or(std::string());
+  return name.substr(0, name.find(':'));
+}
+
+bool IngressTask::mayRunBeside(const CallRequest &request) const {
+  const ConfigurationPtr current = configuration.current();
+  const ServiceRule *const rule =
+      current->findService(hostOf(request), request.path());
+  return rule != nullptr && isIdempotent(request, *rule) &&
+         (!rule->needsClaim() || isSafeMethod(request.method));
+}
+
 std::optional<PickedTarget> IngressTask::pick(const Configuration &current,
                                               const std::string &service,
                                               const std::set<Address> &tried) {
--- a/src/node/IngressTask.h
+++ b/src/node/IngressTask.h
@@ -51,6 +51,14 @@
    * the call has ended; possibly before serve() returns. */
   void serve(const IncomingCallPtr &incoming, std::function<void()> onDone);
 
+  /** The host that a request names, without a port. */
+  static std::string hostOf(const CallRequest &request);
+
+  /** True if the request may run at the same time as others that were sent with
+   * it: by the configuration in force it may run more than once, and needs no
+   * claim. */
+  bool mayRunBeside(const CallRequest &request) const;
+
   /** Picks the next target for a call, and may probe another candidate.
    * \return nothing if all candidates of \p service are in \p tried or taken
    * out of service by the configuration. */
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -137,23 +137,30 @@
       return std::move(targets).error();
     announcements = std::move(targets).value();
   }
-  auto server =
-      HttpServer::listen(services.settings.callers, "callers",
-                         [this](const IncomingCallPtr &call) { serve(call); });
+  auto server = HttpServer::listen(
+      services.settings.callers, "callers",
+      [this](const IncomingCallPtr &call) { serve(call); },
+      [this](const CallRequest &request) {
+        return !isForNode(request) && ingress->mayRunBeside(request);
+      });
   if (!server)
     return std::move(server).error();
   callers = std::move(server).value();
   return true;
 }
 
+bool Node::isForNode(const CallRequest &request) const {
+  // In site mode every path on this address belongs to callers.
+  return !services.settings.site &&
+         (isForwarded(request) ||
+          request.target.starts_with(StatusTask::PathPrefix));
+}
+
 void Node::serve(const IncomingCallPtr &call) {
   const bool isStopping = stopRequestedAt != TimePoint{};
   if (isStopping)
     call->closeAfterAnswer();
-  // In site mode every path on this address belongs to callers.
-  if (!services.settings.site &&
-      (isForwarded(call->request()) ||
-       call->request().target.starts_with(StatusTask::PathPrefix))) {
+  if (isForNode(call->request())) {
     serveForward(call);
     return;
   }
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -110,6 +110,8 @@
   void startTasks();
   void connectTasks();
   Checked<bool> listen();
+  /** True for a path on the callers address that belongs to the node. */
+  bool isForNode(const CallRequest &request) const;
   void serve(const IncomingCallPtr &call);
   void serveForward(const IncomingCallPtr &call);
   bool isMinDrainTimeOver() const;
