Show that requests which wait in the buffer keep the time of their bytes

The test sent as many as are taken in at once, and passed with a time that was set when a request is taken in. With twice as many it fails then.

--- a/test/error/SentBehindTest.cpp
+++ b/test/error/SentBehindTest.cpp
@@ -126,14 +126,16 @@
   STRCMP_EQUAL("a b u1 u2 c d ", bodies().c_str());
 }
 
-// Guards against a time that is counted from when a request is begun.
+// Guards against a time that is counted from when a request is begun or taken
+// in.
 TEST(SentBehind, TimeOfARequestIsThatOfItsBytes) {
-  send(getAll({"u1", "u2", "u3"}));
+  constexpr std::size_t Requests = 2 * ServerConnection::MaxRequests;
+  send(getAll(Names(Requests, "u")));
   const TimePoint sent = std::chrono::steady_clock::now();
   pause(milliseconds(50));
-  answer(0);
-  answer(1);
-  CHECK_EQUAL(3, begun.size());
+  for (std::size_t n = 0; n < Requests; ++n)
+    answer(n);
+  CHECK_EQUAL(Requests, begun.size());
   CHECK(std::ranges::all_of(
       calls, [&](const auto &it) { return it->readAt() <= sent; }));
 }
