--- a/test/platform/SiteSentBehindTest.cpp
+++ b/test/platform/SiteSentBehindTest.cpp
@@ -151,6 +151,7 @@
   for (unsigned n = 0; n < 2'000; ++n)
     all += one(Safe, "many-" + std::to_string(n), milliseconds(1'000));
   std::vector<StreamSocket> callers;
+  callers.reserve(Callers);
   for (unsigned n = 0; n < Callers; ++n)
     callers.push_back(
         std::move(*StreamSocket::connect(site.machines[0]->callers)));
