--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -59,7 +59,9 @@
   std::uint64_t fingerprint = 0;
   /** Taken from the team's quota; given back if the call is not sent. */
   std::optional<QuotaToken> quotaToken;
+  /** When the request was read, which may be before the call was begun. */
   TimePoint arrivedAt;
+  TimePoint begunAt;
   TimePoint deadline;
   /** Null until the request has passed validation. */
   std::unique_ptr<CallDecision> decision;
