--- a/src/base/Address.cpp
+++ b/src/base/Address.cpp
@@ -1,5 +1,6 @@
 #include "base/Address.h"
 
+#include <algorithm>
 #include <charconv>
 #include <gio/gio.h>
 
@@ -16,6 +17,16 @@
   return port;
 }
 
+/** The resolver of numbers reads up to a zero byte, and takes any scope. */
+bool isNumericHost(const std::string &host) {
+  const auto isPart = [](char c) {
+    return g_ascii_isalnum(c) || c == '.' || c == ':' || c == '%' || c == '-' ||
+           c == '_';
+  };
+  return std::ranges::all_of(host, isPart) &&
+         g_hostname_is_ip_address(host.c_str());
+}
+
 } // namespace
 
 std::optional<Address> Address::parse(std::string_view text) {
@@ -25,7 +36,7 @@
   std::string host(text.substr(0, colon));
   if (host.front() == '[' && host.back() == ']')
     host = host.substr(1, host.size() - 2);
-  if (!g_hostname_is_ip_address(host.c_str()))
+  if (!isNumericHost(host))
     return std::nullopt;
   const auto port = parsePort(text.substr(colon + 1));
   if (!port)
--- a/src/node/AnnounceTask.cpp
+++ b/src/node/AnnounceTask.cpp
@@ -1,5 +1,6 @@
 #include "node/AnnounceTask.h"
 
+#include "base/Text.h"
 #include "node/parseAnnouncement.h"
 #include "request/HttpStatus.h"
 
@@ -13,7 +14,7 @@
 
 void replyJson(const IncomingCallPtr &call, unsigned status, const json &body) {
   call->reply(status, {{"Content-Type", "application/json"}},
-              body.dump() + "\n");
+              encodeJson(body) + "\n");
 }
 
 void replyError(const IncomingCallPtr &call, unsigned status,
--- a/src/node/ArchiveTask.cpp
+++ b/src/node/ArchiveTask.cpp
@@ -1,5 +1,6 @@
 #include "node/ArchiveTask.h"
 
+#include "base/Text.h"
 #include "node/EventJson.h"
 
 #include <nlohmann/json.hpp>
@@ -36,7 +37,7 @@
       services.settings.cluster + "-events-" +
       digestOf(services.settings.callers.toString() + "/" + until.toString());
   services.storeClient.writeObject(
-      object, toJson(events).dump(),
+      object, encodeJson(toJson(events)),
       [this, object, until, done = std::move(done)](StoreResult result) {
         if (result == StoreResult::Ok)
           listSegment(object, until, done);
--- a/src/node/DepartureTask.cpp
+++ b/src/node/DepartureTask.cpp
@@ -1,6 +1,7 @@
 #include "node/DepartureTask.h"
 
 #include "process/Rendezvous.h"
+#include "process/metricLabel.h"
 
 #include <algorithm>
 
@@ -225,7 +226,7 @@
   for (const PendingRecord &it : ended) {
     const auto copies = state.copiesOf(it.revision, it.addedAt, now);
     services.metrics.add("departures_recorded_total",
-                         "copy=\"" + std::string(toText(copies)) + "\"");
+                         metricLabel("copy", toText(copies)));
     services.logDecision(DecisionKind::StateChange,
                          {{"event", "departure-recorded"},
                           {"bootId", it.departure.bootId},
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -1,5 +1,6 @@
 #include "node/GateTask.h"
 
+#include "process/metricLabel.h"
 #include "request/CallDecision.h"
 
 #include <algorithm>
@@ -66,8 +67,7 @@
     break;
   case Admission::Kind::Refused:
     services.metrics.add("gate_refused_total",
-                         "reason=\"" +
-                             std::string(toString(admission.refusal)) + "\"");
+                         metricLabel("reason", toString(admission.refusal)));
     services.events.count(EventKind::CallsRefused, gateRequest.service,
                           std::string(toString(admission.refusal)));
     call->refuse(admission.refusal);
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -2,6 +2,7 @@
 
 #include "node/PrefixedSource.h"
 #include "node/RemoteDispatch.h"
+#include "process/metricLabel.h"
 #include "request/HeaderNames.h"
 #include "request/HttpStatus.h"
 
@@ -573,9 +574,10 @@
     return;
   cancelAttempts();
   resolveClaim(answer.outcome);
-  task.services.metrics.add("answers_made_total",
-                            "status=\"" + std::to_string(answer.status) +
-                                "\",reason=\"" + answer.reason + "\"");
+  task.services.metrics.add(
+      "answers_made_total",
+      metricLabel("status", std::to_string(answer.status)) + "," +
+          metricLabel("reason", answer.reason));
   task.services.events.count(
       answer.outcome == Outcome::NotRun ? EventKind::CallsRefused
                                         : EventKind::CallsFailed,
--- a/src/node/StatusTask.cpp
+++ b/src/node/StatusTask.cpp
@@ -1,6 +1,9 @@
 #include "node/StatusTask.h"
 
+#include "base/Text.h"
 #include "node/EventJson.h"
+#include "node/MemberJson.h"
+#include "process/metricLabel.h"
 #include "request/HeaderNames.h"
 #include "request/HttpStatus.h"
 #include "request/Outcome.h"
@@ -16,21 +19,6 @@
 
 using nlohmann::json;
 
-json toJson(const Member &member) {
-  return {{"peers", member.peersAddress.toString()},
-          {"callers", member.callersAddress.toString()},
-          {"failureDomain", member.failureDomain},
-          {"liveness", toString(member.liveness)},
-          {"generation", member.generation},
-          {"incarnation", member.incarnation},
-          {"service", member.target.service},
-          {"target", member.target.state == TargetState::Absent
-                         ? std::string()
-                         : member.target.address.toString()},
-          {"targetState", toString(member.target.state)},
-          {"slots", member.target.slots}};
-}
-
 void replyError(const IncomingCallPtr &call, unsigned status,
                 const std::string &message) {
   call->reply(status,
@@ -78,7 +66,8 @@
                "the status paths are read-only; use GET");
   } else if (name == "status") {
     const bool hasMembers = findParameter(request.target, "members") != "0";
-    call->reply(httpStatus::Ok, jsonType, makeStatus(hasMembers).dump() + "\n");
+    call->reply(httpStatus::Ok, jsonType,
+                encodeJson(makeStatus(hasMembers)) + "\n");
   } else if (name == "events") {
     const auto since =
         HybridTime::parse(findParameter(request.target, "since").value_or("0"));
@@ -86,12 +75,10 @@
       replyError(call, httpStatus::BadRequest,
                  "since: must be a decimal number, the time of an event");
     else
-      call->reply(
-          httpStatus::Ok, jsonType,
-          json{{"events", plantainhatch::toJson(services.events.since(*since))},
-               {"dropped", services.events.droppedCount()}}
-                  .dump() +
-              "\n");
+      call->reply(httpStatus::Ok, jsonType,
+                  encodeJson({{"events", toJson(services.events.since(*since))},
+                              {"dropped", services.events.droppedCount()}}) +
+                      "\n");
   } else if (name == "metrics") {
     call->reply(httpStatus::Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                 makeMetrics());
@@ -181,7 +168,7 @@
       "platform_requests",
       static_cast<double>(services.storeClient.requestCount()));
   for (const auto &[call, count] : services.storeClient.requestsByCall())
-    services.metrics.set("platform_requests_by_call", "call=\"" + call + "\"",
+    services.metrics.set("platform_requests_by_call", metricLabel("call", call),
                          static_cast<double>(count));
   services.metrics.set("platform_bytes",
                        static_cast<double>(services.storeClient.byteCount()));
--- a/src/node/parseAnnouncement.cpp
+++ b/src/node/parseAnnouncement.cpp
@@ -1,5 +1,7 @@
 #include "node/parseAnnouncement.h"
 
+#include "base/Text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <limits>
@@ -27,11 +29,13 @@
         report(field, "is missing");
       return {};
     }
-    if (!it->is_string() || (isRequired && it->get<std::string>().empty())) {
-      report(field, "must be a non-empty string");
+    const auto *const text = it->get_ptr<const json::string_t *>();
+    if (text == nullptr || (isRequired && text->empty()) ||
+        !isPlainText(*text)) {
+      report(field, "must be a non-empty string without control characters");
       return {};
     }
-    return it->get<std::string>();
+    return *text;
   }
 
   std::uint16_t count(const char *field) {
--- a/src/operator/ConfigurationStore.cpp
+++ b/src/operator/ConfigurationStore.cpp
@@ -1,6 +1,7 @@
 #include "operator/ConfigurationStore.h"
 
 #include "base/Digest.h"
+#include "base/Text.h"
 #include "node/ConfigurationTask.h"
 #include "operator/MainLoop.h"
 
@@ -248,7 +249,7 @@
                                                 ? std::optional(row.row.etag)
                                                 : std::nullopt});
   transaction.checks.push_back({historyRowKey(unwanted.version), std::nullopt});
-  transaction.puts.emplace_back(HeadRowKey, value.dump());
+  transaction.puts.emplace_back(HeadRowKey, encodeJson(value));
   const auto result = await<TransactionResult>(
       [&](const auto &done) { platform.commit(table(), transaction, done); });
   return result.result == StoreResult::Ok;
--- a/src/operator/NodeClient.cpp
+++ b/src/operator/NodeClient.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/Timer.h"
 #include "operator/MainLoop.h"
+#include "operator/fieldOf.h"
 
 #include <nlohmann/json.hpp>
 
@@ -49,16 +50,16 @@
 std::optional<NodeListing> toListing(const json &member) {
   if (!member.is_object())
     return std::nullopt;
-  const auto callers = Address::parse(member.value("callers", ""));
-  const auto peers = Address::parse(member.value("peers", ""));
+  const auto callers = Address::parse(textOf(member, "callers"));
+  const auto peers = Address::parse(textOf(member, "peers"));
   if (!callers || !peers)
     return std::nullopt;
   return NodeListing{*callers,
                      *peers,
-                     member.value("failureDomain", ""),
-                     member.value("liveness", ""),
-                     member.value("generation", std::uint64_t{0}),
-                     member.value("incarnation", std::uint64_t{0})};
+                     textOf(member, "failureDomain"),
+                     textOf(member, "liveness"),
+                     fieldOf(member, "generation", std::uint64_t{0}),
+                     fieldOf(member, "incarnation", std::uint64_t{0})};
 }
 
 void startNext(const std::shared_ptr<FetchBatch> &batch);
--- a/src/operator/changeCommands.cpp
+++ b/src/operator/changeCommands.cpp
@@ -1,5 +1,6 @@
 /** \file
  * Commands that change the accepted configuration. */
+#include "base/Text.h"
 #include "operator/commands.h"
 #include "operator/offerVersion.h"
 #include "operator/runCommand.h"
@@ -46,7 +47,7 @@
                     {"applyId", change.head.applyId},
                     {"changed", isChanged}};
     return {ExitCode::Done,
-            context.options.isJson ? data.dump() + "\n" : version + "\n",
+            context.options.isJson ? encodeJson(data) + "\n" : version + "\n",
             isChanged
                 ? "accepted as version " + version + "\n"
                 : "in force already since " + describe(change.head) + "\n"};
--- a/src/operator/explainRequest.cpp
+++ b/src/operator/explainRequest.cpp
@@ -1,5 +1,8 @@
 #include "operator/explainRequest.h"
 
+#include "base/Text.h"
+#include "operator/fieldOf.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -33,7 +36,7 @@
       if (fields.is_object() && fields.contains("t") &&
           fields["t"].is_number_integer())
         lines.push_back({fields["t"].get<std::int64_t>(),
-                         fields.value("node", ""), std::move(fields)});
+                         textOf(fields, "node"), std::move(fields)});
     }
   std::ranges::stable_sort(lines, {}, &Line::timeMs);
   return lines;
@@ -45,7 +48,7 @@
     rest.erase(name);
   const std::int64_t offset = line.timeMs - firstMs;
   return (offset < 0 ? "" : "+") + std::to_string(offset) + " ms  " +
-         line.node + "  " + rest.dump() + "\n";
+         line.node + "  " + encodeJson(rest) + "\n";
 }
 
 } // namespace
@@ -54,7 +57,7 @@
                              const std::vector<std::istream *> &logs) {
   const std::vector<Line> lines = readLines(logs);
   const auto isOfRequest = [&](const Line &line) {
-    return line.fields.value("request", "") == requestId;
+    return textOf(line.fields, "request") == requestId;
   };
   const auto first = std::ranges::find_if(lines, isOfRequest);
   if (first == lines.end())
@@ -71,10 +74,9 @@
     }
   std::string output;
   for (const Line &line : lines) {
-    const bool isBelief = line.fields.value("kind", "") == "belief" &&
-                          nodes.contains(line.node) &&
-                          line.timeMs >= first->timeMs - BeliefSpanMs &&
-                          line.timeMs <= lastMs;
+    const bool isBelief =
+        textOf(line.fields, "kind") == "belief" && nodes.contains(line.node) &&
+        line.timeMs >= first->timeMs - BeliefSpanMs && line.timeMs <= lastMs;
     if (isBelief || isOfRequest(line))
       output += format(line, first->timeMs);
   }
--- a/src/operator/readCommands.cpp
+++ b/src/operator/readCommands.cpp
@@ -2,7 +2,9 @@
  * Commands that read the accepted configuration and the state of nodes. */
 #include "operator/commands.h"
 
+#include "base/Text.h"
 #include "operator/MainLoop.h"
+#include "operator/fieldOf.h"
 
 #include <nlohmann/json.hpp>
 
@@ -50,7 +52,7 @@
       lagging[node.toString()] = "does not answer";
       continue;
     }
-    const auto inForce = answer->value("version", std::uint64_t{0});
+    const auto inForce = fieldOf(*answer, "version", std::uint64_t{0});
     if (inForce < version)
       lagging[node.toString()] = "has version " + std::to_string(inForce);
   }
@@ -58,16 +60,17 @@
 }
 
 std::string statusLine(const json &status) {
-  const json &gate = status.at("gate");
+  const json gate =
+      status.is_object() && status.contains("gate") ? status["gate"] : json();
   std::ostringstream line;
-  line << std::left << std::setw(22) << status.value("node", "")
-       << std::setw(14) << status.value("failureDomain", "") << std::setw(9)
-       << ("v" + std::to_string(status.value("version", 0))) << std::setw(18)
-       << gate.value("service", "") << std::setw(9) << gate.value("state", "")
-       << gate.value("inFlight", 0) << "/" << gate.value("limit", 0) << "/"
-       << gate.value("slots", 0)
-       << (status.value("storeUp", true) ? "" : "  store down")
-       << (status.value("stopping", false) ? "  stopping" : "") << "\n";
+  line << std::left << std::setw(22) << textOf(status, "node") << std::setw(14)
+       << textOf(status, "failureDomain") << std::setw(9)
+       << ("v" + std::to_string(fieldOf(status, "version", 0))) << std::setw(18)
+       << textOf(gate, "service") << std::setw(9) << textOf(gate, "state")
+       << fieldOf(gate, "inFlight", 0) << "/" << fieldOf(gate, "limit", 0)
+       << "/" << fieldOf(gate, "slots", 0)
+       << (fieldOf(status, "storeUp", true) ? "" : "  store down")
+       << (fieldOf(status, "stopping", false) ? "  stopping" : "") << "\n";
   return line.str();
 }
 
@@ -95,7 +98,7 @@
             "version " + std::to_string(configuration->head().version) + "\n"};
   json data = toJson(configuration->head());
   data["text"] = configuration->text();
-  return {ExitCode::Done, data.dump() + "\n", {}};
+  return {ExitCode::Done, encodeJson(data) + "\n", {}};
 }
 
 CommandResult history(CommandContext &context,
@@ -106,7 +109,7 @@
   if (context.options.isJson) {
     json list = json::array();
     std::ranges::transform(heads.value(), std::back_inserter(list), toJson);
-    return {ExitCode::Done, list.dump() + "\n", {}};
+    return {ExitCode::Done, encodeJson(list) + "\n", {}};
   }
   std::ostringstream text;
   for (const ConfigurationHead &head : heads.value())
@@ -129,13 +132,12 @@
     if (!nodes.empty())
       lagging = findLagging(context, nodes, *version);
     if (lagging.empty())
-      return {
-          ExitCode::Done,
-          context.options.isJson
-              ? json{{"version", *version}, {"nodes", nodes.size()}}.dump() +
-                    "\n"
-              : arguments[0] + "\n",
-          "in force at " + std::to_string(nodes.size()) + " nodes\n"};
+      return {ExitCode::Done,
+              context.options.isJson ? encodeJson({{"version", *version},
+                                                   {"nodes", nodes.size()}}) +
+                                           "\n"
+                                     : arguments[0] + "\n",
+              "in force at " + std::to_string(nodes.size()) + " nodes\n"};
     pause(WaitInterval);
   } while (std::chrono::steady_clock::now() < giveUpAt);
   CommandResult result = refused("not in force everywhere:");
@@ -144,7 +146,7 @@
         "\n");
   if (context.options.isJson)
     result.output =
-        json{{"version", *version}, {"lagging", lagging}}.dump() + "\n";
+        encodeJson({{"version", *version}, {"lagging", lagging}}) + "\n";
   return result;
 }
 
@@ -176,10 +178,10 @@
     }
   }
   for (const json &it : absent)
-    text += it.value("node", "") + "  " + it.value("liveness", "") + "\n";
+    text += textOf(it, "node") + "  " + textOf(it, "liveness") + "\n";
   if (context.options.isJson)
     return {ExitCode::Done,
-            json{{"nodes", nodes}, {"absent", absent}}.dump() + "\n",
+            encodeJson({{"nodes", nodes}, {"absent", absent}}) + "\n",
             {}};
   return {ExitCode::Done, text, {}};
 }
--- a/src/operator/timelineCommand.cpp
+++ b/src/operator/timelineCommand.cpp
@@ -3,8 +3,10 @@
 #include "operator/commands.h"
 
 #include "base/HybridClock.h"
+#include "base/Text.h"
 #include "node/ArchiveTask.h"
 #include "operator/MainLoop.h"
+#include "operator/fieldOf.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,10 +34,10 @@
 public:
   void add(const json &list) {
     for (const json &event : list) {
-      const auto time = HybridTime::parse(event.value("time", ""));
+      const auto time = HybridTime::parse(textOf(event, "time"));
       if (time)
-        events.emplace(Key{*time, event.value("node", ""),
-                           event.value("kind", ""), event.value("subject", "")},
+        events.emplace(Key{*time, textOf(event, "node"), textOf(event, "kind"),
+                           textOf(event, "subject")},
                        event);
     }
   }
@@ -46,7 +48,8 @@
     std::vector<json> found;
     for (const auto &[key, event] : events)
       if (key.time > since && taken.insert(key).second &&
-          (filter.empty() || event.dump().find(filter) != std::string::npos))
+          (filter.empty() ||
+           encodeJson(event).find(filter) != std::string::npos))
         found.push_back(event);
     return found;
   }
@@ -83,10 +86,10 @@
 }
 
 std::string formatEvent(const json &event) {
-  return formatWallTime(event.value("wallMs", std::int64_t{0})) + "  " +
-         event.value("node", "") + "  " + event.value("kind", "") + "  " +
-         event.value("subject", "") + ": " + event.value("detail", "") + "  [" +
-         event.value("cause", "") + "]\n";
+  return formatWallTime(fieldOf(event, "wallMs", std::int64_t{0})) + "  " +
+         textOf(event, "node") + "  " + textOf(event, "kind") + "  " +
+         textOf(event, "subject") + ": " + textOf(event, "detail") + "  [" +
+         textOf(event, "cause") + "]\n";
 }
 
 HybridTime timeBefore(std::chrono::milliseconds ago) {
@@ -154,7 +157,8 @@
                    const std::vector<json> &events) {
   std::string text;
   for (const json &event : events)
-    text += context.options.isJson ? event.dump() + "\n" : formatEvent(event);
+    text +=
+        context.options.isJson ? encodeJson(event) + "\n" : formatEvent(event);
   return text;
 }
 
--- a/src/process/DecisionLog.cpp
+++ b/src/process/DecisionLog.cpp
@@ -1,5 +1,7 @@
 #include "process/DecisionLog.h"
 
+#include "base/Text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -58,7 +60,7 @@
     std::visit(
         [&](const auto &value) { line[std::string(field.name)] = value; },
         field.value);
-  lines += line.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+  lines += encodeJson(line) + "\n";
 }
 
 void DecisionLog::reportOmitted(WallTime wallTime, TimePoint now) {
--- a/src/request/ClaimRecord.cpp
+++ b/src/request/ClaimRecord.cpp
@@ -1,6 +1,7 @@
 #include "request/ClaimRecord.h"
 
 #include "base/Digest.h"
+#include "base/Text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -33,7 +34,7 @@
                  {"headers", answer.headers},
                  {"bodyHex", hexFromBytes(answer.body)},
                  {"isWhole", answer.isComplete}};
-  return row.dump(-1, ' ', false, json::error_handler_t::replace);
+  return encodeJson(row);
 }
 
 Checked<ClaimRecord> ClaimRecord::fromJson(const std::string &text) {
--- a/src/version/ConfigurationHead.cpp
+++ b/src/version/ConfigurationHead.cpp
@@ -1,5 +1,7 @@
 #include "version/ConfigurationHead.h"
 
+#include "base/Text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace plantainhatch {
@@ -8,7 +10,7 @@
   const nlohmann::json row{{"version", version}, {"digest", digest},
                            {"applyId", applyId}, {"author", author},
                            {"change", change},   {"appliedAtMs", appliedAtMs}};
-  return row.dump();
+  return encodeJson(row);
 }
 
 Checked<ConfigurationHead>
--- a/test/correctness/DecisionLogTest.cpp
+++ b/test/correctness/DecisionLogTest.cpp
@@ -109,3 +109,18 @@
   std::istringstream log("{}\n");
   CHECK(explainRequest("r", {&log}).code == ExitCode::Refused);
 }
+
+// Guards against a command that ends, as a log holds lines of another writer.
+TEST(Explain, FieldsOfOtherTypesAndBytesEndNothing) {
+  std::istringstream log(
+      R"({"t":1,"node":3,"kind":[],"request":{}})"
+      "\n"
+      R"({"t":99999999999999999999,"node":"a","request":"r"})"
+      "\n{\"t\":2,\"node\":\"\xff\",\"request\":\"r\"}\n"
+      R"({"t":3,"node":null,"kind":7,"request":"r","why":"\ud800"})"
+      "\n"
+      R"({"t":4,"node":false,"kind":"failed","request":"r"})");
+  const auto result = explainRequest("r", {&log});
+  CHECK(result.code == ExitCode::Done);
+  CHECK(result.output.find("failed") != std::string::npos);
+}
--- a/test/platform/AdapterTest.cpp
+++ b/test/platform/AdapterTest.cpp
@@ -168,6 +168,15 @@
   CHECK_FALSE(read.value().isLeaving);
 }
 
+// Guards against names that end a line of the log, or a header.
+TEST(Heartbeats, NamesWithControlCharactersNameNoTarget) {
+  for (const char *const service : {"a\r\nX-Odd: 1", "a\nb", "a\x7f", "\x01"}) {
+    json body = goodHeartbeat();
+    body["information"]["service"] = service;
+    CHECK_FALSE(platform::parseHeartbeat("i-1", body.dump()).has_value());
+  }
+}
+
 TEST(Heartbeats, EachFaultNamesItsFieldAndNoTarget) {
   const std::pair<const char *, json> faults[] = {
       {"/address", "nowhere"},      {"/address", 3},
--- a/test/platform/OddMessagesTest.cpp
+++ b/test/platform/OddMessagesTest.cpp
@@ -5,6 +5,8 @@
 #include "connection/MessageCodec.h"
 #include "platform/SiteFixture.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <arpa/inet.h>
@@ -138,6 +140,15 @@
     CHECK_TEXT(site.isReady(0), after.c_str());
   }
 
+  void checkPages(const std::string &after) {
+    for (const char *const page : {"status", "events"}) {
+      const auto answer = site.http.get(
+          site.machines[0]->metrics, std::string("/plantainhatch/v1/") + page);
+      CHECK_EQUAL_TEXT(200, answer.status, after.c_str());
+      CHECK_TEXT(nlohmann::json::accept(answer.body), after.c_str());
+    }
+  }
+
   double metric(const std::string &name) {
     const auto answer =
         site.http.get(site.machines[0]->metrics, "/plantainhatch/v1/metrics");
@@ -209,3 +220,28 @@
                           makeFrame(codec.encode(request)));
   CHECK_EQUAL(before + 1, metric("control_rejected_total"));
 }
+
+// Guards against an identifier of bytes that takes the place of the worker,
+// ends the process when a page shows it, or adds headers to calls.
+TEST(OddMessages, IdentifierThatIsNoTextNamesNoWorker) {
+  CHECK(site.start());
+  SiteMachine &machine = *site.machines[0];
+  const std::string body =
+      machine.target->heartbeat("ready", machine.shownTarget).dump();
+  for (const std::string id :
+       {"i-\xff\xfe", "i-%ff%fe", "i-%c3", "i-%0d%0aX-Odd:%201", "i-%7f"})
+    for (const std::string method : {"PUT", "DELETE"}) {
+      const std::string request =
+          method + " /instances/" + id +
+          " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body;
+      const unsigned status =
+          statusOf(HttpClient::exchangeRaw(machine.targets, request));
+      const std::string after = method + " of " + id;
+      checkPages(after);
+      checkServes(after);
+      CHECK_EQUAL_TEXT(400, status, after.c_str());
+    }
+  machine.target->setManner(SiteTarget::Manner::Answer);
+  CHECK_EQUAL(200, site.call(0, "GET", "/read/x", "after-odd").status);
+}
