Take nothing for an answer but HTTP/1.0 or 1.1 with a status from 200 to 599

Cause: the parser takes any one or more digits up to 999 for a status and any two for a version, and everything below 200 was an interim answer, whose body stayed before that of the next. Change: the bytes of the status line are compared as they come, those of each interim answer too; 101, which nobody asks for, is refused. Interim answers, 204 and 304 have no body, whatever they say. Requests of another version than 1.0 and 1.1 are malformed and have 400. Before, at a real node, a signed answer with the body "odd" in front of a 200 with "new", for a safe and an unsafe call alike: 000, 099, 20, 101, and 100 with a length: 200 with "odd"; 0200, HTTP/9.9, HTTP/0.9, a blank line in front: 200 with "odd"; 600 and 999: passed on so; -20: 502. In the reader: two blanks before the status, HTTP/1.2 and 2.0 were read as 200; 204 and 304 had the body "odd"; 2000, 2x0, 200OK, a tab behind the status, "HTTP/1.1200", lower case, ICE and no status were malformed. Requests of HTTP/9.9, 2.0, 1.2, 0.9 and of none were read, 1.10, 11, lower case and PRI were malformed. Result: each of the 24 calls has the node's 502 now.

--- a/src/connection/HttpMessageReader.cpp
+++ b/src/connection/HttpMessageReader.cpp
@@ -8,6 +8,37 @@
 namespace {
 
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned NoContent = 204;
+constexpr unsigned NotModified = 304;
+/** What an answer begins with: the version, a status from 100 to 599, and the
+ * end of the status. The parser takes more than that. */
+constexpr std::string_view AnswerPattern = "HTTP/1.v sdde";
+constexpr std::size_t StatusAt = 9;
+
+bool fits(char c, char pattern) {
+  switch (pattern) {
+  case 'v':
+    return c == '0' || c == '1';
+  case 's':
+    return c >= '1' && c <= '5';
+  case 'd':
+    return c >= '0' && c <= '9';
+  case 'e':
+    return c == ' ' || c == '\r' || c == '\n';
+  default:
+    return c == pattern;
+  }
+}
+
+/** Of a protocol that nobody has asked for. */
+bool isSwitch(std::string_view answerStart) {
+  return answerStart.substr(std::min(StatusAt, answerStart.size()))
+      .starts_with("101");
+}
+
+bool isKnownVersion(const http_parser &parser) {
+  return parser.http_major == 1 && parser.http_minor <= 1;
+}
 
 } // namespace
 
@@ -17,6 +48,30 @@
 }
 
 std::size_t HttpMessageReader::feed(std::string_view bytes) {
+  std::size_t n = 0;
+  do {
+    isInterimOver = false;
+    if (!takeAnswerStart(bytes.substr(n))) {
+      current = State::Malformed;
+      return n;
+    }
+    n += parse(bytes.substr(n));
+  } while (isInterimOver && n < bytes.size());
+  return n;
+}
+
+bool HttpMessageReader::takeAnswerStart(std::string_view bytes) {
+  if (parser.type != HTTP_RESPONSE || current != State::Head)
+    return true;
+  const std::size_t at = answerStart.size();
+  answerStart += bytes.substr(0, AnswerPattern.size() - at);
+  const std::string_view taken = std::string_view(answerStart).substr(at);
+  return std::ranges::equal(taken, AnswerPattern.substr(at, taken.size()),
+                            fits) &&
+         !isSwitch(answerStart);
+}
+
+std::size_t HttpMessageReader::parse(std::string_view bytes) {
   parser.data = this;
   const std::size_t n =
       http_parser_execute(&parser, &settings(), bytes.data(), bytes.size());
@@ -25,7 +80,9 @@
       current == State::HeadTooLarge || current == State::Malformed;
   if (error == HPE_OK || isRefused)
     return n;
-  if (error == HPE_PAUSED && current == State::Complete)
+  if (error == HPE_PAUSED && isInterimOver)
+    http_parser_pause(&parser, 0);
+  if (error == HPE_PAUSED && (isInterimOver || current == State::Complete))
     return n;
   current =
       error == HPE_HEADER_OVERFLOW ? State::HeadTooLarge : State::Malformed;
@@ -46,7 +103,8 @@
   current = State::Head;
   headBytes = 0;
   interimAnswers = 0;
-  isLastField = hasNoBody = isKeptAlive = false;
+  isLastField = isInterimOver = hasNoBody = isKeptAlive = false;
+  answerStart.clear();
   target.clear();
   headers.clear();
   contentLength.reset();
@@ -89,10 +147,9 @@
 }
 
 int HttpMessageReader::onHeadComplete() {
-  const bool isInterim =
-      parser.type == HTTP_RESPONSE && parser.status_code < FirstFinalStatus;
-  if (isInterim)
-    return 0;
+  // Interim answers have no body, whatever they say.
+  if (parser.type == HTTP_RESPONSE && parser.status_code < FirstFinalStatus)
+    return 1;
   current = State::Body;
   isLastField = false;
   const bool hasBlankInName =
@@ -100,26 +157,34 @@
         return header.first.find_first_of(" \t") != std::string::npos;
       });
   // The parser takes "Name :" for a header that others would read differently.
-  if (hasBlankInName) {
+  if (hasBlankInName || !isKnownVersion(parser)) {
     current = State::Malformed;
     return -1;
   }
   // What asks for another protocol is answered in this one.
   parser.upgrade = 0;
-  if (parser.content_length != std::numeric_limits<std::uint64_t>::max() &&
+  const bool isEmpty =
+      parser.type == HTTP_RESPONSE &&
+      (parser.status_code == NoContent || parser.status_code == NotModified);
+  if (!isEmpty &&
+      parser.content_length != std::numeric_limits<std::uint64_t>::max() &&
       (parser.flags & F_CHUNKED) == 0)
     contentLength = parser.content_length;
-  return hasNoBody ? 1 : 0;
+  return hasNoBody || isEmpty ? 1 : 0;
 }
 
 int HttpMessageReader::onMessageComplete() {
   if (current != State::Body) {
     headers.clear();
     headBytes = 0;
-    if (++interimAnswers <= MaxInterimAnswers)
-      return 0;
-    current = State::Malformed;
-    return 1;
+    answerStart.clear();
+    isInterimOver = ++interimAnswers <= MaxInterimAnswers;
+    if (!isInterimOver) {
+      current = State::Malformed;
+      return 1;
+    }
+    http_parser_pause(&parser, 1);
+    return 0;
   }
   isKeptAlive = http_should_keep_alive(&parser) != 0;
   current = State::Complete;
--- a/src/connection/HttpMessageReader.h
+++ b/src/connection/HttpMessageReader.h
@@ -67,11 +67,18 @@
   http_parser parser{};
   State current = State::Head;
   std::size_t headBytes = 0;
+  /** The first bytes of the answer that is read, up to its status. */
+  std::string answerStart;
   unsigned interimAnswers = 0;
   bool isLastField = false;
+  bool isInterimOver = false;
   bool hasNoBody = false;
   bool isKeptAlive = false;
 
+  /** \return false if \p bytes, which come next, begin no answer. */
+  bool takeAnswerStart(std::string_view bytes);
+  /** Feeds the parser up to the end of one message. */
+  std::size_t parse(std::string_view bytes);
   int addHeadBytes(std::size_t n);
   int onField(const char *at, std::size_t n);
   int onValue(const char *at, std::size_t n);
--- a/test/error/HttpMessageFaultsTest.cpp
+++ b/test/error/HttpMessageFaultsTest.cpp
@@ -124,6 +124,94 @@
   CHECK_EQUAL(1, answer.headers.size());
 }
 
+// Guards against an answer of no status that is taken for an interim one, whose
+// body then stands before that of the next.
+TEST(HttpMessageFaults, AnswerWithoutASoundStatusLineIsMalformed) {
+  for (const std::string start : {"HTTP/1.1 000 None",
+                                  "HTTP/1.1 099 Low",
+                                  "HTTP/1.1 0 None",
+                                  "HTTP/1.1 20 Short",
+                                  "HTTP/1.1 0200 Long",
+                                  "HTTP/1.1 2000 Long",
+                                  "HTTP/1.1 600 High",
+                                  "HTTP/1.1 999 High",
+                                  "HTTP/1.1 101 Unasked",
+                                  "HTTP/1.1 -20 Sign",
+                                  "HTTP/1.1 2x0 Letter",
+                                  "HTTP/1.1  200 OK",
+                                  "HTTP/1.1 200OK",
+                                  "HTTP/1.1 200\tOK",
+                                  "HTTP/0.9 200 OK",
+                                  "HTTP/1.2 200 OK",
+                                  "HTTP/2.0 200 OK",
+                                  "HTTP/9.9 200 OK",
+                                  "HTTP/1.1200",
+                                  "http/1.1 200 OK",
+                                  "ICE/1.1 200 OK",
+                                  "\r\nHTTP/1.1 200 OK",
+                                  "HTTP/1.1"})
+    for (const std::size_t pieceBytes : {1UL, 1000UL}) {
+      HttpMessageReader reader(HTTP_RESPONSE);
+      std::string bytes = start + "\r\nContent-Length: 3\r\n\r\nodd"
+                                  "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+                                  "new";
+      for (; !bytes.empty() && reader.state() == State::Head;
+           bytes.erase(0, pieceBytes))
+        reader.feed(std::string_view(bytes).substr(0, pieceBytes));
+      CHECK_TEXT(reader.state() == State::Malformed, start.c_str());
+      CHECK_TEXT(reader.body.empty(), start.c_str());
+    }
+}
+
+TEST(HttpMessageFaults, AnswerWithAnOddButSoundStatusLineIsRead) {
+  for (const std::string start :
+       {"HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 599 x",
+        "HTTP/1.1 402 \xff"}) {
+    HttpMessageReader reader(HTTP_RESPONSE);
+    reader.feed(start + "\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TEXT(reader.state() == State::Complete, start.c_str());
+  }
+}
+
+// Guards against the body of an interim answer before that of the final one.
+TEST(HttpMessageFaults, InterimAnswerHasNoBody) {
+  const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew";
+  for (const std::string interim :
+       {"HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nodd",
+        "HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nodd\r\n0\r\n\r\n"}) {
+    HttpMessageReader reader(HTTP_RESPONSE);
+    reader.feed(interim + final);
+    CHECK_TEXT(reader.state() == State::Malformed, interim.c_str());
+    CHECK_TEXT(reader.body.empty(), interim.c_str());
+  }
+  answer.feed("HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + final);
+  CHECK(answer.state() == State::Complete);
+  STRCMP_EQUAL("new", answer.body.c_str());
+}
+
+TEST(HttpMessageFaults, AnswersThatNeverHaveABodyHaveNone) {
+  for (const std::string status : {"204 None", "304 Same"}) {
+    HttpMessageReader reader(HTTP_RESPONSE);
+    const std::string head =
+        "HTTP/1.1 " + status + "\r\nContent-Length: 3\r\n\r\n";
+    const std::size_t n = reader.feed(head + "odd");
+    CHECK_EQUAL(head.size(), n);
+    CHECK_TEXT(reader.state() == State::Complete, status.c_str());
+    CHECK_TEXT(reader.body.empty(), status.c_str());
+  }
+}
+
+TEST(HttpMessageFaults, RequestOfAnotherVersionIsMalformed) {
+  for (const std::string line :
+       {"GET / HTTP/9.9", "GET / HTTP/2.0", "GET / HTTP/1.2", "GET / HTTP/0.9",
+        "GET /", "GET / HTTP/1.10", "GET / HTTP/11", "GET / http/1.1"}) {
+    HttpMessageReader reader(HTTP_REQUEST);
+    reader.feed(line + "\r\nHost: h\r\n\r\n");
+    CHECK_TEXT(reader.state() == State::Malformed, line.c_str());
+  }
+}
+
 TEST(HttpMessageFaults, AnswerToHeadHasNoBody) {
   answer.expectNoBody();
   answer.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
--- a/test/platform/OddMessagesTest.cpp
+++ b/test/platform/OddMessagesTest.cpp
@@ -1,9 +1,11 @@
 /** \file
- * Odd requests, datagrams and frames at each listener of real nodes: none ends
- * a process, and each request has a status that tells what is wrong. */
+ * Odd requests, answers, datagrams and frames at each listener of real nodes:
+ * none ends a process, and each request has a status that tells what is wrong.
+ */
 #include "connection/BulkMessage.h"
 #include "connection/MessageCodec.h"
 #include "platform/SiteFixture.h"
+#include "support/ScriptedServer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,6 +13,7 @@
 
 #include <arpa/inet.h>
 
+#include <list>
 #include <sstream>
 
 using namespace plantainhatch;
@@ -56,6 +59,11 @@
        "GET / HTTP/1.1\r\nA: " + std::string(ManyBytes, 'h') + "\r\n\r\n",
        {431}},
       {"a method that does not exist", "JUMP /" + Ending, Malformed},
+      {"a version that does not exist", "GET / HTTP/9.9\r\nHost: h\r\n\r\n",
+       Malformed},
+      {"no version", "GET /\r\n\r\n", Malformed},
+      {"a version of another protocol", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+       Malformed},
       {"no request at all", "hello\r\n\r\n", Malformed},
       {"bytes", std::string("\x16\x03\x01\x00\xff", 5) + "\r\n\r\n", Malformed},
       {"two lengths",
@@ -75,6 +83,13 @@
   return List;
 }
 
+/** Starts of answers that are none. */
+const std::string OddStarts[] = {
+    "HTTP/1.1 000 None", "HTTP/1.1 099 Low",      "HTTP/1.1 20 Short",
+    "HTTP/1.1 0200 OK",  "HTTP/1.1 600 High",     "HTTP/1.1 999 High",
+    "HTTP/1.1 -20 None", "HTTP/1.1 101 Unasked",  "HTTP/9.9 200 OK",
+    "HTTP/0.9 200 OK",   "HTTP/1.1 100 Continue", "\r\nHTTP/1.1 200 OK"};
+
 /** Requests that end in the middle; no answer is due. */
 const std::string CutRequests[] = {
     "",
@@ -93,6 +108,25 @@
   return status;
 }
 
+/** A worker that answers each call with \p answer. */
+class OddWorker {
+public:
+  OddWorker(const Address &address, const std::string &name,
+            const std::string &answer)
+      : server(address, [name, answer](ScriptedServer::Connection &it) {
+          while (const auto request = it.readRequest())
+            if (!it.write(
+                    request->starts_with("GET /health")
+                        ? "HTTP/1.1 200 OK\r\nX-Plantainhatch-Instance-Id: " +
+                              name + "\r\nContent-Length: 0\r\n\r\n"
+                        : answer))
+              return;
+        }) {}
+
+private:
+  ScriptedServer server;
+};
+
 /** Sends \p bytes and closes the connection without waiting. */
 void sendAndClose(const Address &address, const std::string &bytes) {
   const GObjectPtr<GSocketClient> client(g_socket_client_new());
@@ -245,3 +279,40 @@
   machine.target->setManner(SiteTarget::Manner::Answer);
   CHECK_EQUAL(200, site.call(0, "GET", "/read/x", "after-odd").status);
 }
+
+// Guards against an odd answer that its caller gets as one, alone or before the
+// next.
+TEST(OddMessages, AnswerWithoutASoundStatusLineIsNoAnswer) {
+  CHECK(site.start());
+  for (const auto &it : site.machines)
+    it->target->crash();
+  const std::string proof =
+      "\r\nX-Plantainhatch-Request-Attempt-Id: odd\r\n"
+      "X-Plantainhatch-Server-Signature: x\r\nContent-Length: 3\r\n\r\n";
+  unsigned n = 0;
+  std::string faults;
+  for (const std::string &start : OddStarts) {
+    const std::string answer =
+        start + proof + "odd" + "HTTP/1.1 200 OK" + proof + "new";
+    std::list<OddWorker> workers;
+    for (const auto &it : site.machines)
+      workers.emplace_back(it->targetAddress, it->target->name(), answer);
+    for (const std::string call : {"GET /read/", "POST /write/"}) {
+      for (std::size_t m = 0; m < site.machines.size(); ++m)
+        CHECK_EQUAL(200, site.beat(m, "ready"));
+      const std::string text = HttpClient::exchangeRaw(
+          site.machines[0]->callers,
+          call + std::to_string(++n) +
+              " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+              "X-Plantainhatch-Request-Attempt-Id: odd\r\n"
+              "Content-Length: 0\r\n\r\n");
+      checkServes(start);
+      const bool isOfNode = text.starts_with("HTTP/1.1 502 ") &&
+                            text.find("odd\r\n") != std::string::npos &&
+                            !text.ends_with("odd") && !text.ends_with("new");
+      if (!isOfNode)
+        faults.append("\n" + call + "after " + start + ": " + text);
+    }
+  }
+  CHECK_TEXT(faults.empty(), faults.c_str());
+}
