--- a/test/platform/OddMessagesTest.cpp
+++ b/test/platform/OddMessagesTest.cpp
@@ -15,6 +15,7 @@
 
 #include <list>
 #include <sstream>
+#include <thread>
 
 using namespace plantainhatch;
 using namespace plantainhatch::test;
@@ -108,6 +109,11 @@
   return status;
 }
 
+std::string makeHealth(const std::string &name) {
+  return "HTTP/1.1 200 OK\r\nX-Plantainhatch-Instance-Id: " + name +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
 /** A worker that answers each call with \p answer. */
 class OddWorker {
 public:
@@ -115,11 +121,8 @@
             const std::string &answer)
       : server(address, [name, answer](ScriptedServer::Connection &it) {
           while (const auto request = it.readRequest())
-            if (!it.write(
-                    request->starts_with("GET /health")
-                        ? "HTTP/1.1 200 OK\r\nX-Plantainhatch-Instance-Id: " +
-                              name + "\r\nContent-Length: 0\r\n\r\n"
-                        : answer))
+            if (!it.write(request->starts_with("GET /health") ? makeHealth(name)
+                                                              : answer))
               return;
         }) {}
 
@@ -316,3 +319,37 @@
   }
   CHECK_TEXT(faults.empty(), faults.c_str());
 }
+
+// Guards against a call that waits for the end of interim answers.
+TEST(OddMessages, InterimAnswersWithoutAnEndLastNoLongerThanTheDeadline) {
+  CHECK(site.start());
+  std::list<ScriptedServer> workers;
+  for (const auto &it : site.machines) {
+    it->target->crash();
+    workers.emplace_back(
+        it->targetAddress,
+        [name = it->target->name()](ScriptedServer::Connection &connection) {
+          while (const auto request = connection.readRequest()) {
+            if (request->starts_with("GET /health")) {
+              connection.write(makeHealth(name));
+              continue;
+            }
+            while (connection.write("HTTP/1.1 100 Continue\r\n\r\n"))
+              std::this_thread::sleep_for(std::chrono::milliseconds(100));
+          }
+        });
+  }
+  for (std::size_t m = 0; m < site.machines.size(); ++m)
+    CHECK_EQUAL(200, site.beat(m, "ready"));
+  for (const std::string method : {"GET", "POST"}) {
+    const TimePoint sentAt = std::chrono::steady_clock::now();
+    const auto answer =
+        site.call(0, method, method == "GET" ? "/read/i" : "/write/i",
+                  "interim-" + method, std::chrono::milliseconds(700));
+    // Both promise nothing.
+    CHECK_TEXT(answer.status == 502 || answer.status == 504,
+               (std::to_string(answer.status) + answer.body).c_str());
+    CHECK(std::chrono::steady_clock::now() - sentAt <
+          std::chrono::milliseconds(1500));
+  }
+}
