--- a/test/platform/OddMessagesTest.cpp
+++ b/test/platform/OddMessagesTest.cpp
@@ -1,15 +1,21 @@
 /** \file
- * Odd requests, datagrams and frames at each listener of real nodes: none ends
- * a process, and each request has a status that tells what is wrong. */
+ * Odd requests, answers, datagrams and frames at each listener of real nodes:
+ * none ends a process, and each request has a status that tells what is wrong.
+ */
 #include "connection/BulkMessage.h"
 #include "connection/MessageCodec.h"
 #include "platform/SiteFixture.h"
+#include "support/ScriptedServer.h"
+
+#include <nlohmann/json.hpp>
 
 #include <CppUTest/TestHarness.h>
 
 #include <arpa/inet.h>
 
+#include <list>
 #include <sstream>
+#include <thread>
 
 using namespace plantainhatch;
 using namespace plantainhatch::test;
@@ -54,6 +60,11 @@
        "GET / HTTP/1.1\r\nA: " + std::string(ManyBytes, 'h') + "\r\n\r\n",
        {431}},
       {"a method that does not exist", "JUMP /" + Ending, Malformed},
+      {"a version that does not exist", "GET / HTTP/9.9\r\nHost: h\r\n\r\n",
+       Malformed},
+      {"no version", "GET /\r\n\r\n", Malformed},
+      {"a version of another protocol", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+       Malformed},
       {"no request at all", "hello\r\n\r\n", Malformed},
       {"bytes", std::string("\x16\x03\x01\x00\xff", 5) + "\r\n\r\n", Malformed},
       {"two lengths",
@@ -73,6 +84,13 @@
   return List;
 }
 
+/** Starts of answers that are none. */
+const std::string OddStarts[] = {
+    "HTTP/1.1 000 None", "HTTP/1.1 099 Low",      "HTTP/1.1 20 Short",
+    "HTTP/1.1 0200 OK",  "HTTP/1.1 600 High",     "HTTP/1.1 999 High",
+    "HTTP/1.1 -20 None", "HTTP/1.1 101 Unasked",  "HTTP/9.9 200 OK",
+    "HTTP/0.9 200 OK",   "HTTP/1.1 100 Continue", "\r\nHTTP/1.1 200 OK"};
+
 /** Requests that end in the middle; no answer is due. */
 const std::string CutRequests[] = {
     "",
@@ -91,6 +109,27 @@
   return status;
 }
 
+std::string makeHealth(const std::string &name) {
+  return "HTTP/1.1 200 OK\r\nX-Plantainhatch-Instance-Id: " + name +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
+/** A worker that answers each call with \p answer. */
+class OddWorker {
+public:
+  OddWorker(const Address &address, const std::string &name,
+            const std::string &answer)
+      : server(address, [name, answer](ScriptedServer::Connection &it) {
+          while (const auto request = it.readRequest())
+            if (!it.write(request->starts_with("GET /health") ? makeHealth(name)
+                                                              : answer))
+              return;
+        }) {}
+
+private:
+  ScriptedServer server;
+};
+
 /** Sends \p bytes and closes the connection without waiting. */
 void sendAndClose(const Address &address, const std::string &bytes) {
   const GObjectPtr<GSocketClient> client(g_socket_client_new());
@@ -138,6 +177,15 @@
     CHECK_TEXT(site.isReady(0), after.c_str());
   }
 
+  void checkPages(const std::string &after) {
+    for (const char *const page : {"status", "events"}) {
+      const auto answer = site.http.get(
+          site.machines[0]->metrics, std::string("/plantainhatch/v1/") + page);
+      CHECK_EQUAL_TEXT(200, answer.status, after.c_str());
+      CHECK_TEXT(nlohmann::json::accept(answer.body), after.c_str());
+    }
+  }
+
   double metric(const std::string &name) {
     const auto answer =
         site.http.get(site.machines[0]->metrics, "/plantainhatch/v1/metrics");
@@ -209,3 +257,99 @@
                           makeFrame(codec.encode(request)));
   CHECK_EQUAL(before + 1, metric("control_rejected_total"));
 }
+
+// Guards against an identifier of bytes that takes the place of the worker,
+// ends the process when a page shows it, or adds headers to calls.
+TEST(OddMessages, IdentifierThatIsNoTextNamesNoWorker) {
+  CHECK(site.start());
+  SiteMachine &machine = *site.machines[0];
+  const std::string body =
+      machine.target->heartbeat("ready", machine.shownTarget).dump();
+  for (const std::string id :
+       {"i-\xff\xfe", "i-%ff%fe", "i-%c3", "i-%0d%0aX-Odd:%201", "i-%7f"})
+    for (const std::string method : {"PUT", "DELETE"}) {
+      const std::string request =
+          method + " /instances/" + id +
+          " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body;
+      const unsigned status =
+          statusOf(HttpClient::exchangeRaw(machine.targets, request));
+      const std::string after = method + " of " + id;
+      checkPages(after);
+      checkServes(after);
+      CHECK_EQUAL_TEXT(400, status, after.c_str());
+    }
+  machine.target->setManner(SiteTarget::Manner::Answer);
+  CHECK_EQUAL(200, site.call(0, "GET", "/read/x", "after-odd").status);
+}
+
+// Guards against an odd answer that its caller gets as one, alone or before the
+// next.
+TEST(OddMessages, AnswerWithoutASoundStatusLineIsNoAnswer) {
+  CHECK(site.start());
+  for (const auto &it : site.machines)
+    it->target->crash();
+  const std::string proof =
+      "\r\nX-Plantainhatch-Request-Attempt-Id: odd\r\n"
+      "X-Plantainhatch-Server-Signature: x\r\nContent-Length: 3\r\n\r\n";
+  unsigned n = 0;
+  std::string faults;
+  for (const std::string &start : OddStarts) {
+    const std::string answer =
+        start + proof + "odd" + "HTTP/1.1 200 OK" + proof + "new";
+    std::list<OddWorker> workers;
+    for (const auto &it : site.machines)
+      workers.emplace_back(it->targetAddress, it->target->name(), answer);
+    for (const std::string call : {"GET /read/", "POST /write/"}) {
+      for (std::size_t m = 0; m < site.machines.size(); ++m)
+        CHECK_EQUAL(200, site.beat(m, "ready"));
+      const std::string text = HttpClient::exchangeRaw(
+          site.machines[0]->callers,
+          call + std::to_string(++n) +
+              " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+              "X-Plantainhatch-Request-Attempt-Id: odd\r\n"
+              "Content-Length: 0\r\n\r\n");
+      checkServes(start);
+      const bool isOfNode = text.starts_with("HTTP/1.1 502 ") &&
+                            text.find("odd\r\n") != std::string::npos &&
+                            !text.ends_with("odd") && !text.ends_with("new");
+      if (!isOfNode)
+        faults.append("\n" + call + "after " + start + ": " + text);
+    }
+  }
+  CHECK_TEXT(faults.empty(), faults.c_str());
+}
+
+// Guards against a call that waits for the end of interim answers.
+TEST(OddMessages, InterimAnswersWithoutAnEndLastNoLongerThanTheDeadline) {
+  CHECK(site.start());
+  std::list<ScriptedServer> workers;
+  for (const auto &it : site.machines) {
+    it->target->crash();
+    workers.emplace_back(
+        it->targetAddress,
+        [name = it->target->name()](ScriptedServer::Connection &connection) {
+          while (const auto request = connection.readRequest()) {
+            if (request->starts_with("GET /health")) {
+              connection.write(makeHealth(name));
+              continue;
+            }
+            while (connection.write("HTTP/1.1 100 Continue\r\n\r\n"))
+              std::this_thread::sleep_for(std::chrono::milliseconds(100));
+          }
+        });
+  }
+  for (std::size_t m = 0; m < site.machines.size(); ++m)
+    CHECK_EQUAL(200, site.beat(m, "ready"));
+  for (const std::string method : {"GET", "POST"}) {
+    const TimePoint sentAt = std::chrono::steady_clock::now();
+    const auto answer =
+        site.call(0, method, method == "GET" ? "/read/i" : "/write/i",
+                  "interim-" + method, std::chrono::milliseconds(700));
+    // Both promise nothing.
+    CHECK_TEXT(answer.status == 502 || answer.status == 504,
+               (std::to_string(answer.status) + answer.body).c_str());
+    CHECK(std::chrono::steady_clock::now() - sentAt <
+          std::chrono::milliseconds(1500));
+  }
+}
