Order versions by the store's era, and take nothing back when it was set back

Cause: a store that comes back from a copy shows what was in force some time ago, under numbers that it gives out a second time. Nodes served the copy's state or took nothing new, as they compared numbers alone.

The head names the operator's document, so that a replica refuses an older one whatever its version is. For 10 s newer versions are read from the store and not pulled, as a node that has just started may have read the copy alone, and the first version of an era does not outdate calls of older ones.

--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -54,7 +54,23 @@
       check(guard, [this] { return askForNewest(); }),
       proofs(services, peers, FollowSource,
              [this](const auto &proof) { onProof(proof); }),
-      lookup(services, peers) {}
+      lookup(services, peers) {
+  services.storeClient.addEraListener([this] { onEraRose(); });
+}
+
+void ConfigurationTask::onEraRose() {
+  const bool isRise = replica.version() > 0 &&
+                      eraOf(replica.version()) < services.storeClient.era();
+  if (isRise)
+    eraRoseAt = NodeServices::now();
+}
+
+bool ConfigurationTask::mustReadSource() const {
+  const TimePoint now = NodeServices::now();
+  return externalSource.confirm && eraRoseAt &&
+         now - *eraRoseAt < VersionHistory::EraGrace && heard.newest() > 0 &&
+         heard.lag(now) < SourceGrace;
+}
 
 void ConfigurationTask::startWithExternalSource(ExternalSource source) {
   externalSource = std::move(source);
@@ -300,6 +316,9 @@
                           {"version", version},
                           {"inForce", replica.version()},
                           {"from", peer.toString()}});
+  // The version in force shows that the store has reached its era.
+  if (externalSource.confirm)
+    services.storeClient.onEra(eraOf(version));
   pull(peer);
 }
 
@@ -346,6 +365,14 @@
 }
 
 void ConfigurationTask::pull(const Address &peer, UpdateKind kind) {
+  if (mustReadSource()) {
+    const TimePoint now = NodeServices::now();
+    if (now - lastSourceAskAt >= SourceAskInterval) {
+      lastSourceAskAt = now;
+      externalSource.confirm();
+    }
+    return;
+  }
   if (!mayPull() || !pulls.insert(peer).second)
     return;
   const TimePoint askedAt = NodeServices::now();
--- a/src/node/ConfigurationTask.h
+++ b/src/node/ConfigurationTask.h
@@ -56,6 +56,12 @@
   /** The same while neither the source nor another node answers. */
   static constexpr std::chrono::milliseconds KeyProofRetryInterval{500};
 
+  /** How long a newer version is asked for at the external source alone, after
+   * the store has come back from a copy; see mustReadSource(). */
+  static constexpr std::chrono::milliseconds SourceGrace{1'000};
+  /** Least time between two such requests. */
+  static constexpr std::chrono::milliseconds SourceAskInterval{100};
+
   /** Called with the configuration that was in force before the adoption. */
   using AdoptedListener = std::function<void(const ConfigurationPtr &before)>;
 
@@ -193,6 +199,9 @@
   };
   EncodedUpdate encoded;
   TimePoint lastLongUpdateAt;
+  /** When the store was first seen in a newer era than the version in force. */
+  std::optional<TimePoint> eraRoseAt;
+  TimePoint lastSourceAskAt;
   TimePoint lastKeyProofAskAt;
   /** The external source has not answered the latest request to confirm. */
   bool isSourceFailing = false;
@@ -215,6 +224,13 @@
    * a peer that knows no compressed ones. */
   enum class UpdateKind : std::uint8_t { Short, Any, Plain };
   void pull(const Address &peer, UpdateKind kind = UpdateKind::Short);
+  /** The store has come back from a copy. */
+  void onEraRose();
+  /** True if newer versions are taken from the external source and not from
+   * peers, as a node that has started since may have read no more than what the
+   * copy had. Ends with VersionHistory::EraGrace, or for a version that has not
+   * come in SourceGrace. */
+  bool mustReadSource() const;
   /** Whether another peer may be asked now. */
   bool mayPull() const;
   /** Asks a node that has the newest version that was heard of. */
--- a/src/process/ConfigurationReplica.cpp
+++ b/src/process/ConfigurationReplica.cpp
@@ -1,5 +1,7 @@
 #include "process/ConfigurationReplica.h"
 
+#include "version/OperatorDocument.h"
+
 #include <algorithm>
 #include <functional>
 #include <iterator>
@@ -18,8 +20,9 @@
 AdoptResult ConfigurationReplica::compare(const ConfigurationHead &head) const {
   if (head.version == version() && head.digest != active->head().digest)
     return AdoptResult::Conflict;
-  return head.version <= version() ? AdoptResult::NotNewer
-                                   : AdoptResult::Adopted;
+  return head.version <= version() || bringsBackDocument(head, active->head())
+             ? AdoptResult::NotNewer
+             : AdoptResult::Adopted;
 }
 
 AdoptResult ConfigurationReplica::adopt(const ConfigurationHead &head,
--- a/src/process/ConfigurationReplica.h
+++ b/src/process/ConfigurationReplica.h
@@ -54,7 +54,8 @@
 
 /** Holds the active configuration version and the latest deltas that led to it.
  * The version number never decreases: an older version is rejected whatever its
- * origin. Not thread-safe. */
+ * origin, and so is an older document of the operator that the store has
+ * brought back, see OperatorDocument. Not thread-safe. */
 class ConfigurationReplica {
 public:
   /** Deltas kept for peers that lag behind. */
--- a/src/process/VersionHistory.cpp
+++ b/src/process/VersionHistory.cpp
@@ -1,11 +1,15 @@
 #include "process/VersionHistory.h"
 
+#include "version/StoreVersion.h"
+
 #include <algorithm>
 
 namespace plantainhatch {
 
 void VersionHistory::onAdopted(std::uint64_t version, TimePoint now) {
-  adoptions.push_back({version, now});
+  const bool isNewEra =
+      !adoptions.empty() && eraOf(version) > eraOf(adoptions.back().version);
+  adoptions.push_back({version, isNewEra ? now + EraGrace : now});
   if (adoptions.size() > MaxVersions)
     adoptions.pop_front();
 }
@@ -14,7 +18,10 @@
 VersionHistory::supersededAt(std::uint64_t version) const {
   const auto it =
       std::ranges::upper_bound(adoptions, version, {}, &Adoption::version);
-  return it == adoptions.end() ? std::nullopt : std::optional(it->time);
+  if (it == adoptions.end())
+    return std::nullopt;
+  return std::ranges::min_element(it, adoptions.end(), {}, &Adoption::time)
+      ->time;
 }
 
 } // namespace plantainhatch
--- a/src/process/VersionHistory.h
+++ b/src/process/VersionHistory.h
@@ -5,6 +5,7 @@
 
 #include "base/Time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -16,12 +17,17 @@
 class VersionHistory {
 public:
   static constexpr std::size_t MaxVersions = 32;
+  /** The first version of an era supersedes older ones only after this long, as
+   * it may differ from them by its number alone; a later one does so at once.
+   */
+  static constexpr std::chrono::seconds EraGrace{10};
 
   /** \p version has come into force. \pre It is newer than all before. */
   void onAdopted(std::uint64_t version, TimePoint now);
 
-  /** When the first version after \p version came into force; the earliest time
-   * that is kept if that was before it, and nothing if there is none. */
+  /** Since when \p version is superseded, which is when the first version after
+   * it came into force, apart from EraGrace; the earliest time that is kept if
+   * that was before it, and nothing if there is none. May be in the future. */
   std::optional<TimePoint> supersededAt(std::uint64_t version) const;
 
 private:
--- a/test/standins/Platform.cpp
+++ b/test/standins/Platform.cpp
@@ -169,6 +169,10 @@
   forgets = order.value("forgets", forgets);
   if (order.value("stale", past.has_value()) != past.has_value())
     past = past ? std::nullopt : std::optional(Snapshot{tables, version});
+  if (order.value("copy", false))
+    takeCopy();
+  if (order.value("restore", false) && copy)
+    restore();
   if (order.value("dropHistory", false)) {
     history.clear();
     historyStart = version;
@@ -176,6 +180,28 @@
   call->reply(200, {}, "{}");
 }
 
+void Platform::takeCopy() {
+  copy = Snapshot{tables, version};
+  copiedObjects = objects;
+}
+
+void Platform::restore() {
+  tables = copy->tables;
+  version = copy->version;
+  objects = copiedObjects;
+  past.reset();
+  std::erase_if(history,
+                [this](const Change &it) { return it.version > version; });
+  historyStart = std::min(historyStart, version);
+  ++era;
+  // Those that wait ask anew, as a store that starts knows none of them.
+  for (const Follower &it : followers) {
+    it.call->onGone(nullptr);
+    it.call->abort();
+  }
+  followers.clear();
+}
+
 void Platform::setRow(const IncomingCallPtr &call) {
   const json order = json::parse(call->request().body, nullptr, false);
   ++version;
@@ -239,7 +265,7 @@
   const std::string &target = call->request().target;
   Follower follower{call, parameter(target, "table"),
                     number(target, "after", 0), std::make_unique<Timer>()};
-  if (forgets || follower.after < historyStart) {
+  if (forgets || follower.after < historyStart || follower.after > version) {
     answer(call, 410, {}, "{}", false);
     return;
   }
@@ -388,13 +414,16 @@
     call->abort();
     return;
   }
+  HeaderList withEra = headers;
+  if (era > 0)
+    withEra.emplace_back("Store-Era", std::to_string(era));
   if (mode != "slow") {
-    call->reply(status, headers, body);
+    call->reply(status, withEra, body);
     return;
   }
   const auto timer = std::make_shared<Timer>();
-  timer->startOnce(delay, [timer, call, status, headers, body] {
-    call->reply(status, headers, body);
+  timer->startOnce(delay, [timer, call, status, withEra, body] {
+    call->reply(status, withEra, body);
   });
 }
 
--- a/test/standins/Platform.h
+++ b/test/standins/Platform.h
@@ -25,7 +25,10 @@
  * connection instead of answering; "slow" answers "delayMs" after it has
  * carried out; "late" carries out that much later. With {"forgets": true}
  * every feed says that its history is gone; with {"stale": true} tables are
- * read as they were at that moment, and {"stale": false} ends that. */
+ * read as they were at that moment, and {"stale": false} ends that.
+ * {"copy": true} takes a copy, and {"restore": true} goes back to it: all that
+ * was written since is gone, versions are given out again, and Store-Era in all
+ * answers rises by one. */
 class Platform {
 public:
   /** Listens. \return the stand-in, or findings if the address cannot be used.
@@ -70,6 +73,10 @@
   bool forgets = false;
   /** Set while reads are answered from the past. */
   std::optional<Snapshot> past;
+  /** The copy of tables and objects, with the version of that moment. */
+  std::optional<Snapshot> copy;
+  std::map<std::string, std::string> copiedObjects;
+  unsigned era = 0;
   std::uint64_t version = 0;
   std::string mode = "up";
   std::chrono::milliseconds delay{0};
@@ -90,6 +97,9 @@
   bool isHeld(const CallRequest &request) const;
   void countArrival(const CallRequest &request);
   void control(const IncomingCallPtr &call);
+  void takeCopy();
+  /** \pre There is a copy. */
+  void restore();
   void setRow(const IncomingCallPtr &call);
   void readRows(const IncomingCallPtr &call);
   void listParts(const IncomingCallPtr &call);
