Write departures again when the store was set back, and read the seeds again

Cause: a departure that was acknowledged on the strength of its row was lost with the row, and after a restart of all nodes a late heartbeat brought the target back.

Change: when the era rises, a node with departures reads its row and writes what it lacks, within 0.5 s, as all nodes share the store's rate of writes. The seeds are read by those chosen for it at their next tick, and free rows are taken.

--- a/src/node/DepartureTask.cpp
+++ b/src/node/DepartureTask.cpp
@@ -12,6 +12,8 @@
 /** First and longest delay before a retry at the store and at other nodes. */
 constexpr std::chrono::milliseconds StoreRetryDelay{300};
 constexpr std::chrono::milliseconds MaxStoreRetryDelay{4'000};
+/** Longest delay before a row is written again that the store may have lost. */
+constexpr std::chrono::milliseconds MaxRewriteDelay{500};
 constexpr std::chrono::milliseconds PeerRetryDelay{150};
 constexpr std::chrono::milliseconds MaxPeerRetryDelay{2'000};
 
@@ -36,7 +38,22 @@
 
 DepartureTask::DepartureTask(NodeServices &services, PeerTask &peers)
     : services(services), peers(peers), storeRetryDelay(StoreRetryDelay),
-      peerRetryDelay(PeerRetryDelay) {}
+      peerRetryDelay(PeerRetryDelay) {
+  services.storeClient.addEraListener([this] { onStoreSetBack(); });
+}
+
+void DepartureTask::onStoreSetBack() {
+  state.onStoreSetBack();
+  isEtagKnown = false;
+  if (!state.isUnsaved())
+    return;
+  // All nodes write again, and share the store's rate of writes.
+  std::uniform_int_distribution<std::int64_t> spread(0,
+                                                     MaxRewriteDelay.count());
+  nextStoreAttemptAt =
+      NodeServices::now() + std::chrono::milliseconds(spread(services.random));
+  resumeTicks();
+}
 
 void DepartureTask::record(const Departure &departure, RecordedCallback done) {
   const std::uint64_t revision = state.add(departure);
--- a/src/node/DepartureTask.h
+++ b/src/node/DepartureTask.h
@@ -26,8 +26,8 @@
 /** Copies each departure to a row of the store and to a few other nodes, and
  * reads them back in the next process. A departure may be acknowledged only
  * once it has a copy, as the target does not repeat it, while a message that it
- * sent before may still arrive after a restart of this node. Use on the main
- * loop only. */
+ * sent before may still arrive after a restart of this node. The row is written
+ * again when the store has come back from a copy. Use on the main loop only. */
 class DepartureTask {
 public:
   /** Other nodes that keep a copy. */
@@ -113,6 +113,8 @@
   void onRow(const RowResult &row);
   void writeRow();
   void retryStoreLater();
+  /** Has the row read and written again, as the store may have lost it. */
+  void onStoreSetBack();
   /** Asks other nodes for departures, or gives them those of this node. */
   void usePeers();
   void askPeer(const Address &peer);
--- a/src/node/SeedTask.cpp
+++ b/src/node/SeedTask.cpp
@@ -17,7 +17,11 @@
 } // namespace
 
 SeedTask::SeedTask(NodeServices &services, PeerTask &peers)
-    : services(services), peers(peers) {}
+    : services(services), peers(peers) {
+  // The rows may be as they were before. Those chosen to read them do so at the
+  // next tick, and take the rows that are free or name absent nodes.
+  services.storeClient.addEraListener([this] { lastReadAt = TimePoint{}; });
+}
 
 void SeedTask::start() {
   timer.startRepeating(BootstrapInterval, [this] { tick(); });
--- a/src/process/DepartureRecord.h
+++ b/src/process/DepartureRecord.h
@@ -49,6 +49,9 @@
   bool onStoreRead(const std::vector<Departure> &departures);
   /** The row in the store is as the list was at \p revision. */
   void onStoreWritten(std::uint64_t revision);
+  /** The store has come back from a copy, which may lack any part of the list.
+   */
+  void onStoreSetBack() { savedRevision = 0; }
   /** Another node has returned what it keeps for this one. \return true if the
    * list has grown. */
   bool onPeerRead(const std::vector<Departure> &departures);
--- a/test/platform/StoreEraTest.cpp
+++ b/test/platform/StoreEraTest.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+constexpr std::size_t Left = 0;
 /** The machine alone in its failure domain. */
 constexpr std::size_t Alone = 2;
 
@@ -133,6 +134,36 @@
   CHECK(runs > 0);
 }
 
+// Guards against a row that only the copy's time had, after which the worker is
+// used again once all nodes have started anew.
+TEST(StoreEra, DepartureIsRememberedAcrossTheCopyAndTheRestartOfAllNodes) {
+  CHECK(site.start());
+  copy();
+  SiteMachine &machine = *site.machines[Left];
+  const std::string path = "/instances/" + machine.target->name();
+  const auto late = machine.target->heartbeat("ready", machine.shownTarget);
+  CHECK_EQUAL(200, site.http.send(machine.targets, "DELETE", path).status);
+  pause(seconds(1));
+  setBack();
+  pause(seconds(2));
+  for (const auto &it : site.machines)
+    it->node->kill();
+  for (std::size_t n = 0; n < site.machines.size(); ++n)
+    site.startNode(n);
+  CHECK(Fleet::waitUntil([&] { return site.isReady(Left); }));
+  CHECK_EQUAL(
+      200,
+      site.http.send(machine.targets, "PUT", path, {}, late.dump()).status);
+  const unsigned before = machine.target->runCount();
+  for (unsigned round = 0; round < 30; ++round)
+    for (std::size_t n = 0; n < site.machines.size(); ++n) {
+      if (n != Left)
+        site.beat(n, "ready");
+      statusAt(n, "/read/x");
+    }
+  CHECK_EQUAL(before, machine.target->runCount());
+}
+
 TEST_GROUP(StoreEraClient){};
 
 // Guards against an answer that was under way since before the copy.
