Let the soak set the store back to a copy, and the operator write again

Each third seed takes a copy, goes back to it 0.3 to 3 s later, and writes the operator's rows again 0.7 s after that. No promise is loosened for it. It is drawn apart, so that other seeds, and those that have failed, keep their plans.

--- a/test/soak/Soak.cpp
+++ b/test/soak/Soak.cpp
@@ -33,6 +33,8 @@
 /** Heartbeats that arrive a second time, late. */
 constexpr double LateBeatShare = 0.1;
 constexpr milliseconds LongestLateness{6'000};
+/** Until the operator writes again what a store that was set back has lost. */
+constexpr milliseconds RepeatDelay{700};
 /** Callers that close their connection within about two service times. */
 constexpr double ImpatientShare = 0.05;
 constexpr milliseconds LongestPatience{60};
@@ -243,6 +245,7 @@
   case FaultKind::ReloadNode:
   case FaultKind::TargetIsReplaced:
   case FaultKind::DomainOut:
+  case FaultKind::StoreSetBack:
   case FaultKind::ChangeConfiguration:
     strikePlanned(step);
     break;
@@ -354,10 +357,13 @@
   case FaultKind::DomainOut:
     if (!domainsOut.insert(domain).second)
       break;
-    site.writeRow("evacuate/" + domain, "{}");
+    writeDomain(domain);
     ledger.domainTakenOut(domain, now());
     schedule(step.length, [this, domain] { takeDomainBack(domain); });
     break;
+  case FaultKind::StoreSetBack:
+    setBackStore(step.length);
+    break;
   default:
     site.writeConfiguration(++version);
   }
@@ -416,7 +422,29 @@
   if (domainsOut.erase(domain) == 0)
     return;
   ledger.domainTakenBack(domain);
-  site.writeRow("evacuate/" + domain, std::nullopt);
+  writeDomain(domain);
+}
+
+void Soak::writeDomain(const std::string &domain) {
+  domainsSinceCopy.insert(domain);
+  site.writeRow("evacuate/" + domain, domainsOut.contains(domain)
+                                          ? std::optional<std::string>("{}")
+                                          : std::nullopt);
+}
+
+void Soak::setBackStore(Duration length) {
+  domainsSinceCopy.clear();
+  site.setStore({{"copy", true}});
+  schedule(length, [this] {
+    site.setStore({{"restore", true}});
+    schedule(RepeatDelay, [this] { writeAgain(); });
+  });
+}
+
+void Soak::writeAgain() {
+  site.writeConfiguration(version);
+  for (const std::string &domain : std::set<std::string>(domainsSinceCopy))
+    writeDomain(domain);
 }
 
 std::string Soak::nodeStart(std::size_t machine) const {
--- a/test/soak/Soak.h
+++ b/test/soak/Soak.h
@@ -77,6 +77,8 @@
   std::vector<MachineState> states;
   std::list<OpenCall> openCalls;
   std::set<std::string> domainsOut;
+  /** Failure domains whose rows have been written since the copy. */
+  std::set<std::string> domainsSinceCopy;
   unsigned version = 1;
   std::uint64_t sequence = 0;
   /** Heartbeats without an answer yet. */
@@ -110,6 +112,13 @@
   void holdLink(FaultyLink &link, FaultyLink::Mode mode, Duration length);
   void strikeTarget(const FaultStep &step);
   void strikePlanned(const FaultStep &step);
+  /** Takes a copy now and goes back to it after \p length. */
+  void setBackStore(Duration length);
+  /** Writes the state of all rows of the operator that the store may have lost.
+   */
+  void writeAgain();
+  /** Writes the row of a failure domain as it is to be. */
+  void writeDomain(const std::string &domain);
 
   void stopNode(const FaultStep &step);
   void startNodeIfEnded(std::size_t machine);
--- a/test/soak/SoakPlan.cpp
+++ b/test/soak/SoakPlan.cpp
@@ -68,6 +68,8 @@
                milliseconds(2'200), milliseconds(3'500), true},
     KindTraits{FaultKind::DomainOut, "domain-out", milliseconds(3'000),
                milliseconds(9'000), true},
+    KindTraits{FaultKind::StoreSetBack, "store-set-back", milliseconds(300),
+               milliseconds(3'000)},
     KindTraits{FaultKind::ChangeConfiguration, "change-configuration",
                milliseconds(1), milliseconds(2), true}};
 
@@ -92,6 +94,10 @@
 /** The kinds that \p seed draws from. */
 std::vector<KindTraits> kindsOf(std::uint64_t seed) {
   std::vector<KindTraits> kinds(Kinds.begin(), Kinds.end());
+  // Drawn apart, so that the seeds that have failed keep their plans.
+  std::erase_if(kinds, [](const KindTraits &it) {
+    return it.kind == FaultKind::StoreSetBack;
+  });
   if (seed % 2 == 1)
     return kinds;
   std::erase_if(kinds, [](const KindTraits &it) { return !sparesNodes(it); });
@@ -102,6 +108,21 @@
   return kinds;
 }
 
+/** Adds one return to a copy before \p end. */
+void addSetBack(std::uint64_t seed, std::size_t machines, Duration end,
+                std::vector<FaultStep> &plan) {
+  const KindTraits &traits = traitsOf(FaultKind::StoreSetBack);
+  std::mt19937_64 random(~seed);
+  std::uniform_int_distribution<Duration::rep> atOf(0, end.count() / 2);
+  std::uniform_int_distribution<milliseconds::rep> lengthOf(
+      traits.shortest.count(), traits.longest.count());
+  const Duration at(atOf(random));
+  const Duration until =
+      std::min<Duration>(at + milliseconds(lengthOf(random)), end);
+  const FaultStep step{traits.kind, at, until - at, random() % machines};
+  plan.insert(std::ranges::upper_bound(plan, at, {}, &FaultStep::at), step);
+}
+
 } // namespace
 
 std::string_view toString(FaultKind kind) { return traitsOf(kind).name; }
@@ -133,6 +154,9 @@
     plan.push_back({traits.kind, at, until - at, machineOf(random)});
     at += hasNext(random) ? draw(gap) : draw(pause);
   }
+  constexpr std::uint64_t SetBackEvery = 3;
+  if (seed % SetBackEvery == 1)
+    addSetBack(seed, machines, end, plan);
   return plan;
 }
 
--- a/test/soak/SoakPlan.h
+++ b/test/soak/SoakPlan.h
@@ -37,6 +37,8 @@
   TargetCrashes,
   TargetIsReplaced,
   DomainOut,
+  /** The store goes back to a copy that was taken when the fault began. */
+  StoreSetBack,
   ChangeConfiguration
 };
 
@@ -60,7 +62,8 @@
  * last fifth of the run is left without any, so that recovery can be seen. Odd
  * seeds draw from all kinds. Even ones leave the store and the nodes alone but
  * for planned work, which lasts longer: promises that bind only nodes in touch
- * with the store are tested there. Equal arguments give equal plans. \pre \p
+ * with the store are tested there. Each third seed, of either sort, sets the
+ * store back once besides. Equal arguments give equal plans. \pre \p
  * machines is not 0. */
 std::vector<FaultStep> drawPlan(std::uint64_t seed, std::size_t machines,
                                 Duration length);
