Keep the ratio of traffic weights that are fractions

Cause: a weight was cut to an integer, so that a part below 1 got nothing, and a route whose parts were all below 1 made the whole document refused. Change: weights that are all integers up to a million stay as they are; others are scaled to one another, the greatest to a million, and none above 0 becomes 0.

--- a/test/platform/AdapterTest.cpp
+++ b/test/platform/AdapterTest.cpp
@@ -319,6 +319,31 @@
   CHECK(decode(rows).value()->findDomainOut("zone-1") == nullptr);
 }
 
+// Guards against parts that get nothing, or a document that is refused, as
+// weights are shares of one.
+TEST(OperatorRows, WeightsThatAreFractionsKeepTheirRatio) {
+  const std::pair<json, std::vector<unsigned>> cases[] = {
+      {{0.9, 0.1}, {1'000'000, 111'111}},     {{0.5, 0}, {1'000'000, 0}},
+      {{2.5, 5}, {500'000, 1'000'000}},       {{1e-30, 1.5}, {1, 1'000'000}},
+      {{1e300, 5e299}, {1'000'000, 500'000}}, {{90, 10}, {90, 10}}};
+  for (const auto &[given, weights] : cases) {
+    json document = goodDocument();
+    json split = json::array();
+    for (const json &it : given)
+      split.push_back({{"service", "s"}, {"weight", it}});
+    document["routes"]["odd"] = {{"host", "h.example"},
+                                 {"prefix", "/odd/"},
+                                 {"kind", "safe"},
+                                 {"traffic_split", split}};
+    const auto built = decode({{"config", document.dump()}});
+    CHECK_TEXT(built.has_value(), given.dump().c_str());
+    const auto *const rule = built.value()->findService("h.example", "/odd/x");
+    for (std::size_t n = 0; n < weights.size(); ++n)
+      CHECK_EQUAL_TEXT(weights[n], rule->trafficSplit[n].weight,
+                       given.dump().c_str());
+  }
+}
+
 TEST(OperatorRows, EachFaultNamesItsPlace) {
   const std::pair<const char *, json> faults[] = {
       {"/routes/r1/host", 5},
