Detach all calls that are given up before the first of them hears of it

The calls behind an answer that closes were taken out of the line, but only detached one by one as their actions ran. An action that answered another one of them, such as a queued call that is refused when a slot comes free, had that one look for its place: the node aborted.

All are detached first. A detached call that is answered has no action left.

SentBehind.CallThatIsAnsweredWhileThoseBehindAnotherEndIsGone aborts at the assertion of slotOf() without the change.

--- a/src/connection/IncomingCall.cpp
+++ b/src/connection/IncomingCall.cpp
@@ -55,8 +55,10 @@
 
 void IncomingCall::reply(unsigned status, const HeaderList &headers,
                          const std::string &body) {
-  if (!connection)
+  if (!connection) {
+    finish();
     return;
+  }
   std::string bytes = makeHead(status, headers);
   if (mayHaveBody(status))
     bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -97,9 +99,7 @@
 }
 
 void IncomingCall::endStream() {
-  if (!connection)
-    return;
-  if (isChunked)
+  if (connection && isChunked)
     connection->send(*this, "0\r\n\r\n");
   finish();
 }
@@ -117,7 +117,6 @@
 }
 
 void IncomingCall::leave() {
-  connection = nullptr;
   if (const Action gone = std::exchange(goneAction, nullptr))
     gone();
 }
--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -384,11 +384,15 @@
   for (auto it = first; it != line.end(); ++it)
     if (it->call != nullptr)
       taken.emplace_back(it->call);
+  // Before any action runs, as one call's action may answer another one.
+  for (const IncomingCallPtr &it : taken)
+    it->connection = nullptr;
   line.erase(first, line.end());
   return taken;
 }
 
 void ServerConnection::dropFrom(std::list<AnswerSlot>::iterator first) {
+  const ConnectionPtr self(this);
   for (const IncomingCallPtr &it : takeFrom(first))
     it->leave();
 }
--- a/test/error/SentBehindTest.cpp
+++ b/test/error/SentBehindTest.cpp
@@ -166,6 +166,17 @@
   CHECK_EQUAL(4, begun.size());
 }
 
+// Guards against a call that is given up while another one's action answers it.
+TEST(SentBehind, CallThatIsAnsweredWhileThoseBehindAnotherEndIsGone) {
+  send(getAll({"a", "b", "c"}));
+  calls[1]->onGone([this] { answer(2); });
+  calls[0]->closeAfterAnswer();
+  answer(0);
+  CHECK(gone.empty());
+  STRCMP_EQUAL("a ", bodies().c_str());
+  CHECK(hasEnded);
+}
+
 TEST(SentBehind, RequestThatClosesIsTheLast) {
   send(get("a") + "GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" +
        get("c"));
