Keep the time of a request's bytes while it waits to be taken in

The time was that of the last read of the connection.

A connection now keeps when each part of what it holds was read, in marks of 5 ms, 256 at most; a request has the time of the mark of its last byte.

SentBehind.TimeOfAWaitingRequestStaysWhenMoreIsRead fails without the change.

--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -86,11 +86,13 @@
 
 void ServerConnection::readMore() {
   while (input.size() < MaxReadAhead) {
+    const std::size_t before = input.size();
     const auto result = socket.read(input, ReadBytes);
     if (result == StreamSocket::ReadResult::Bytes) {
-      readAt = std::chrono::steady_clock::now();
       if (isLingering)
         input.clear();
+      else
+        markRead(input.size() - before);
       continue;
     }
     if (result == StreamSocket::ReadResult::End)
@@ -107,6 +109,37 @@
     onPeerEnded();
 }
 
+void ServerConnection::markRead(std::size_t bytes) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  readBytes += bytes;
+  const bool isNew =
+      readMarks.empty() || (readMarks.size() < MaxReadMarks &&
+                            now - readMarks.back().at > ReadMarkTime);
+  if (isNew) {
+    readMarks.push_back({readBytes, now});
+    return;
+  }
+  ReadMark &last = readMarks.back();
+  last.end = readBytes;
+  // A time that is too late lets a request run for longer; one that is far too
+  // early would refuse it.
+  if (now - last.at > ReadMarkTime)
+    last.at = now;
+}
+
+void ServerConnection::markParsed(std::size_t bytes) {
+  parsedBytes += bytes;
+  readMarks.erase(readMarks.begin(),
+                  std::ranges::find_if(readMarks, [&](const ReadMark &it) {
+                    return it.end >= parsedBytes;
+                  }));
+}
+
+TimePoint ServerConnection::lastParsedReadAt() const {
+  return readMarks.empty() ? std::chrono::steady_clock::now()
+                           : readMarks.front().at;
+}
+
 bool ServerConnection::hasRoom() const {
   const std::size_t held = lineBytes() + socket.queuedBytes();
   if (line.empty())
@@ -145,6 +178,7 @@
     input = {};
   else
     input.erase(0, n);
+  markParsed(n);
   chargeBuffers();
   if (!hadHead && reader.state() == HttpMessageReader::State::Body &&
       findHeader(reader.headers, "Expect") &&
@@ -217,7 +251,8 @@
 }
 
 void ServerConnection::chargeBuffers() {
-  charge.set(input.capacity() + reader.body.capacity() + lineBytes());
+  charge.set(input.capacity() + reader.body.capacity() + lineBytes() +
+             readMarks.capacity() * sizeof(ReadMark));
 }
 
 std::size_t ServerConnection::lineBytes() const {
@@ -234,7 +269,7 @@
   request.body = std::exchange(reader.body, {});
   const std::size_t bytes = bytesOf(request);
   const IncomingCallPtr call(
-      new IncomingCall(this, std::move(request), readAt));
+      new IncomingCall(this, std::move(request), lastParsedReadAt()));
   if (!reader.keepsAlive())
     call->closeAfterAnswer();
   reader.restart();
@@ -263,7 +298,8 @@
   chargeBuffers();
   list.emplace_back(headers::Outcome, toString(Outcome::NotRun));
   list.emplace_back("Content-Type", "text/plain");
-  const IncomingCallPtr incoming(new IncomingCall(this, {}, readAt));
+  const IncomingCallPtr incoming(
+      new IncomingCall(this, {}, lastParsedReadAt()));
   enqueue(incoming);
   incoming->closeAfterAnswer();
   incoming->reply(status, list, text);
@@ -445,6 +481,7 @@
   unlink();
   writtenAction = nullptr;
   input = {};
+  readMarks = {};
   charge.set(0);
   arrivalTimer.stop();
   // The timer's action may be what runs now.
--- a/src/connection/ServerConnection.h
+++ b/src/connection/ServerConnection.h
@@ -10,6 +10,7 @@
 
 #include <boost/intrusive/list.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <string>
@@ -85,13 +86,28 @@
   void closeWhenIdle();
 
 private:
+  /** When a part of the stream was read. */
+  struct ReadMark {
+    /** Offset in the stream. */
+    std::uint64_t end;
+    TimePoint at;
+  };
+
+  /** Reads within this time are one part. */
+  static constexpr std::chrono::milliseconds ReadMarkTime{5};
+  static constexpr std::size_t MaxReadMarks = 256;
+
   StreamSocket socket;
   const Handler *handler;
   const Predicate *mayRunBeside;
   HttpMessageReader reader{HTTP_REQUEST};
   /** Bytes that were read and not yet parsed. */
   std::string input;
-  TimePoint readAt;
+  /** Bytes of the stream that were read, and of these, that were parsed. */
+  std::uint64_t readBytes = 0;
+  std::uint64_t parsedBytes = 0;
+  /** In the order of the stream; from that of the last parsed byte on. */
+  std::vector<ReadMark> readMarks;
   /** In the order of the requests. */
   std::list<AnswerSlot> line;
   Action writtenAction;
@@ -115,6 +131,10 @@
 
   void onReady(std::uint32_t events) override;
   void readMore();
+  void markRead(std::size_t bytes);
+  void markParsed(std::size_t bytes);
+  /** When the last byte that was parsed had been read. */
+  TimePoint lastParsedReadAt() const;
   bool hasRoom() const;
   bool mayParse() const;
   void parse();
--- a/test/error/SentBehindTest.cpp
+++ b/test/error/SentBehindTest.cpp
@@ -140,6 +140,21 @@
       calls, [&](const auto &it) { return it->readAt() <= sent; }));
 }
 
+// Guards against a request that waits and has its time back when others come.
+TEST(SentBehind, TimeOfAWaitingRequestStaysWhenMoreIsRead) {
+  constexpr std::size_t Requests = ServerConnection::MaxRequests + 2;
+  send(getAll(Names(Requests - 1, "u")));
+  const TimePoint sent = std::chrono::steady_clock::now();
+  pause(milliseconds(100));
+  const TimePoint sentLater = std::chrono::steady_clock::now();
+  send(get("u"));
+  for (std::size_t n = 0; n < Requests; ++n)
+    answer(n);
+  CHECK_EQUAL(Requests, begun.size());
+  CHECK(calls[Requests - 2]->readAt() <= sent);
+  CHECK(calls[Requests - 1]->readAt() >= sentLater);
+}
+
 TEST(SentBehind, CallerThatLeavesEndsEachThatRunsOnce) {
   send(getAll({"a", "b", "c", "u", "d"}));
   answer(1);
