Read a streamed answer that waits for its turn up to 64 KiB ahead

A streamed answer that waited for those before it was read one chunk ahead, and so kept its slot at the worker, however short it was.

While what is kept of it is below 64 KiB and the buffers are not full, its source goes on.

SentBehind.ShortStreamedAnswerIsReadWholeWhileItWaits fails without the change. StreamedAnswerWaitsWithOneChunk is now LongStreamedAnswerWaitsWithOneChunkAboveTheBound: a chunk below the bound is no longer held back, so its chunk is larger than the bound; its checks are as before.

--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -329,9 +329,15 @@
     return;
   }
   slot->held += bytes;
-  if (written)
-    slot->written = std::move(written);
   chargeBuffers();
+  if (!written)
+    return;
+  if (slot->held.size() < MaxHeldStreamBytes &&
+      !BufferBudget::instance().isExhausted())
+    // May end the answer, and with it the slot.
+    written();
+  else
+    slot->written = std::move(written);
 }
 
 void ServerConnection::onAnswered(const IncomingCall &call) {
--- a/src/connection/ServerConnection.h
+++ b/src/connection/ServerConnection.h
@@ -41,6 +41,8 @@
   /** No further request is taken in while those of the connection, and answers
    * that wait to be sent, hold as much. */
   static constexpr std::size_t MaxHeldBytes = 256UL * 1024;
+  /** A streamed answer that waits for its turn is read ahead up to here. */
+  static constexpr std::size_t MaxHeldStreamBytes = 64UL * 1024;
   /** What is read ahead while no further request is taken in. */
   static constexpr std::size_t MaxReadAhead = 64UL * 1024;
   /** How long a request may take to arrive, from its first byte on. */
@@ -73,7 +75,8 @@
   void send(const IncomingCall &call, std::string_view bytes) {
     sendThen(call, bytes, nullptr);
   }
-  /** Sends bytes and calls \p written when they have left. */
+  /** Sends bytes and calls \p written when they have left, or when they are
+   * kept and more may be kept besides. */
   void sendThen(const IncomingCall &call, std::string_view bytes,
                 Action written);
   /** The answer is complete. */
--- a/test/error/SentBehindTest.cpp
+++ b/test/error/SentBehindTest.cpp
@@ -240,13 +240,31 @@
   STRCMP_EQUAL("body", calls[1]->request().body.c_str());
 }
 
-// Guards against a streamed answer that is read whole while it waits for its
-// turn, and one that mixes with others.
-TEST(SentBehind, StreamedAnswerWaitsWithOneChunk) {
+// Guards against a source that is kept busy by an answer of a few chunks.
+TEST(SentBehind, ShortStreamedAnswerIsReadWholeWhileItWaits) {
   send(getAll({"a", "b"}));
   unsigned written = 0;
   const GBytesPtr chunk(g_bytes_new("<b1>", 4));
   calls[1]->startStream({200, {}, std::nullopt});
+  for (unsigned n = 0; n < 2; ++n)
+    calls[1]->writeChunk(chunk.get(), [&] { ++written; });
+  CHECK_EQUAL(2, written);
+  calls[1]->endStream();
+  STRCMP_EQUAL("", read().c_str());
+  answer(0);
+  STRCMP_EQUAL("a b1 b1 ", bodies().c_str());
+  CHECK_EQUAL(2, written);
+}
+
+// Guards against a streamed answer that is read whole while it waits for its
+// turn, whatever its size, and one that mixes with others.
+TEST(SentBehind, LongStreamedAnswerWaitsWithOneChunkAboveTheBound) {
+  send(getAll({"a", "b"}));
+  unsigned written = 0;
+  const std::string large =
+      "<b1>" + std::string(ServerConnection::MaxHeldStreamBytes, 'x');
+  const GBytesPtr chunk(g_bytes_new(large.data(), large.size()));
+  calls[1]->startStream({200, {}, std::nullopt});
   calls[1]->writeChunk(chunk.get(), [&] { ++written; });
   STRCMP_EQUAL("", read().c_str());
   CHECK_EQUAL(0, written);
