--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -72,6 +72,15 @@
   return std::chrono::floor<std::chrono::milliseconds>(Milliseconds(ms));
 }
 
+RolloutSettings readRollout(SettingsReader &reader) {
+  RolloutSettings rollout;
+  rollout.exposureShare = reader.requireNumber("exposureShare", 0, 1);
+  rollout.rollback =
+      readMilliseconds(reader, "rollbackMs", RolloutSettings::MinRollback,
+                       RolloutSettings::MaxRollback);
+  return rollout;
+}
+
 SiteSettings readSite(SettingsReader &reader) {
   constexpr double MostRate = 1e6;
   SiteSettings site;
@@ -88,6 +97,11 @@
   site.retryRatio = reader.requireNumber("retryRatio", 0, 1);
   site.retryExtra = reader.requireNumber("retryExtra", 0, MostRate);
   site.probesPerSecond = reader.requireNumber("probesPerSecond", 0, MostRate);
+  if (reader.has("rollout")) {
+    SettingsReader section = reader.section("rollout");
+    site.rollout = readRollout(section);
+    reader.absorb(section);
+  }
   return site;
 }
 
--- a/src/base/Settings.h
+++ b/src/base/Settings.h
@@ -14,6 +14,19 @@
 
 namespace plantainhatch {
 
+/** What a version of a service that may be bad is allowed to do. */
+struct RolloutSettings {
+  static constexpr std::chrono::milliseconds MinRollback{2'000};
+  static constexpr std::chrono::milliseconds MaxRollback{3'600'000};
+
+  /** The most that it may get of the calls from the order to the deadline. */
+  double exposureShare = 0;
+  /** From its 50th bad answer until it gets no calls any more. */
+  std::chrono::milliseconds rollback{0};
+
+  bool operator==(const RolloutSettings &) const = default;
+};
+
 /** How a node fits into a site whose platform has its own interface for
  * callers, targets and operators. Immutable once read. */
 struct SiteSettings {
@@ -45,6 +58,8 @@
   double retryExtra = 0;
   /** Health checks of one target a second, by all nodes together. */
   double probesPerSecond = 0;
+  /** Not set at a site without roll-outs. */
+  std::optional<RolloutSettings> rollout;
 };
 
 /** What one node is told. Immutable once read. */
--- a/src/base/SettingsUpdate.cpp
+++ b/src/base/SettingsUpdate.cpp
@@ -40,6 +40,7 @@
   fields.apply("site.retryExtra", current.retryExtra, next.retryExtra);
   fields.apply("site.probesPerSecond", current.probesPerSecond,
                next.probesPerSecond);
+  fields.apply("site.rollout", current.rollout, next.rollout);
 }
 
 } // namespace
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -333,7 +333,14 @@
     decision->markAllSaturated();
   task.measure.loadTable().onSent(candidate.peersAddress, NodeServices::now());
   task.services.metrics.add("attempts_total");
-  attempts[candidate.peersAddress] = {nullptr, candidate.load};
+  const Rollout *const rollout = task.rollouts.find(service);
+  attempts[candidate.peersAddress] = {
+      nullptr,
+      candidate.load,
+      NodeServices::now(),
+      rollout == nullptr ? 0 : rollout->rule().order,
+      candidate.isOrdered,
+      false};
   const auto hasResult = std::make_shared<bool>(false);
   // A target at its limit was picked in spite of the expected wait, so the call
   // may queue there.
@@ -395,6 +402,7 @@
   }
   const auto &failed = std::get<DispatchFailure>(result);
   const Attempt attempt = endAttempt(target, true);
+  recordForRollout(attempt, true);
   logFailedAttempt(target, attempt.loadAtPick, failed.reason);
   task.services.events.count(EventKind::CallsFailed, service,
                              "at " + target.toString() + ": " + failed.reason);
@@ -435,7 +443,21 @@
   return true;
 }
 
+void IngressCall::recordForRollout(const Attempt &attempt, bool isFailed) {
+  Rollout *const rollout = task.rollouts.find(service);
+  if (rollout == nullptr || rollout->rule().order != attempt.rolloutOrder)
+    return;
+  // Cold targets are slow, whatever their version.
+  const bool mayBeLate = attempt.isOrdered && attempt.loadAtPick.isCold;
+  const bool isLate =
+      rule->targetLatency && !mayBeLate &&
+      NodeServices::now() - attempt.startedAt > *rule->targetLatency;
+  rollout->onAnswer(rule->name, attempt.isOrdered, isFailed || isLate);
+}
+
 void IngressCall::onAnswer(const Address &target, DispatchAnswer answer) {
+  recordForRollout(attempts.at(target),
+                   answer.head.status >= httpStatus::InternalServerError);
   if (retryOnServerError(target, answer))
     return;
   decision->onAnswer(target);
@@ -446,6 +468,7 @@
   auto answering = attempts.extract(target);
   cancelAttempts();
   answering.mapped().source = answer.source;
+  answering.mapped().isAnswered = true;
   attempts.insert(std::move(answering));
   deadlineTimer.stop();
   hedgeTimer.stop();
@@ -519,6 +542,7 @@
        request->method != "HEAD");
   const Attempt attempt = endAttempt(target, isBroken);
   if (isBroken) {
+    recordForRollout(attempt, true);
     onBufferedAnswerBroken(target, attempt.loadAtPick);
     return;
   }
@@ -678,6 +702,11 @@
 void IngressCall::cancelAttempts() {
   for (const auto &[target, attempt] : std::exchange(attempts, {})) {
     task.measure.loadTable().onEnded(target, false, NodeServices::now());
+    const bool isLate =
+        !attempt.isAnswered && rule->targetLatency &&
+        NodeServices::now() - attempt.startedAt > *rule->targetLatency;
+    if (isLate)
+      recordForRollout(attempt, false);
     if (attempt.source)
       attempt.source->cancel();
   }
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -74,6 +74,14 @@
     AnswerSourcePtr source;
     /** The target's load estimate when it was picked, for the decision log. */
     LoadEstimate loadAtPick;
+    TimePoint startedAt;
+    /** The order of a roll-out of the service at that moment; 0 if there was
+     * none. */
+    std::uint64_t rolloutOrder = 0;
+    /** True if the target is of the version that the order names. */
+    bool isOrdered = false;
+    /** True once the head of the answer has come. */
+    bool isAnswered = false;
   };
   /** By the peers address of the target's node. */
   std::map<Address, Attempt> attempts;
@@ -149,6 +157,8 @@
   /** Takes an attempt out of the map and out of the target's load estimate.
    * \param failed as for LoadTable::onEnded(). */
   Attempt endAttempt(const Address &target, bool failed);
+  /** Counts how an attempt went towards the roll-out of the service. */
+  void recordForRollout(const Attempt &attempt, bool isFailed);
   /** Streams the answer to the caller. */
   void relay(const Address &target, const AnswerHead &head,
              const AnswerSourcePtr &source);
--- a/src/node/IngressTask.cpp
+++ b/src/node/IngressTask.cpp
@@ -2,6 +2,7 @@
 
 #include "node/IngressCall.h"
 #include "request/collectCandidates.h"
+#include "request/narrowToRollout.h"
 
 #include <algorithm>
 
@@ -10,9 +11,10 @@
 IngressTask::IngressTask(NodeServices &services, PeerTask &peers,
                          ConfigurationTask &configuration, MeasureTask &measure,
                          CrashTask &crashes, GateTask &gate,
-                         AnyPickPolicy policy)
+                         RolloutTask &rollouts, AnyPickPolicy policy)
     : services(services), peers(peers), configuration(configuration),
-      measure(measure), crashes(crashes), gate(gate), policy(policy) {}
+      measure(measure), crashes(crashes), gate(gate), rollouts(rollouts),
+      policy(policy) {}
 
 void IngressTask::serve(const IncomingCallPtr &incoming,
                         std::function<void()> onDone) {
@@ -29,7 +31,9 @@
     measure.loadTable().onReport(self, gate.load(), now);
   const FleetView view{peers.membership(), peers.index(), current,
                        measure.loadTable()};
-  const auto candidates = collectCandidates(view, service, tried, now);
+  auto candidates = collectCandidates(view, service, tried, now);
+  if (Rollout *const rollout = rollouts.find(service))
+    narrowToRollout(candidates, *rollout, !tried.empty(), now);
   if (candidates.empty())
     return std::nullopt;
   const std::size_t index = std::visit(
--- a/src/node/IngressTask.h
+++ b/src/node/IngressTask.h
@@ -9,6 +9,7 @@
 #include "node/GateTask.h"
 #include "node/MeasureTask.h"
 #include "node/PeerTask.h"
+#include "node/RolloutTask.h"
 #include "request/LatencyWindow.h"
 #include "request/PickPolicy.h"
 #include "request/RetryBudget.h"
@@ -45,7 +46,8 @@
   /** \pre All tasks outlive this one. */
   IngressTask(NodeServices &services, PeerTask &peers,
               ConfigurationTask &configuration, MeasureTask &measure,
-              CrashTask &crashes, GateTask &gate, AnyPickPolicy policy);
+              CrashTask &crashes, GateTask &gate, RolloutTask &rollouts,
+              AnyPickPolicy policy);
 
   /** Serves a call from a caller. \param onDone is called exactly once, when
    * the call has ended; possibly before serve() returns. */
@@ -75,6 +77,7 @@
   MeasureTask &measure;
   CrashTask &crashes;
   GateTask &gate;
+  RolloutTask &rollouts;
 
 private:
   AnyPickPolicy policy;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -24,7 +24,7 @@
   if (!peers)
     return std::move(peers).error();
   node->peers = std::move(peers).value();
-  node->makeTasks(policy, std::move(bindings.builder));
+  node->makeTasks(policy, std::move(bindings));
   node->connectTasks();
   auto listening = node->listen();
   if (!listening)
@@ -53,17 +53,19 @@
          stopRequestedAt == TimePoint{};
 }
 
-void Node::makeTasks(AnyPickPolicy policy,
-                     ConfigurationReplica::Builder builder) {
+void Node::makeTasks(AnyPickPolicy policy, PlatformBindings bindings) {
   departures = std::make_unique<DepartureTask>(services, *peers);
-  configuration =
-      std::make_unique<ConfigurationTask>(services, *peers, std::move(builder));
+  configuration = std::make_unique<ConfigurationTask>(
+      services, *peers, std::move(bindings.builder));
   crashes = std::make_unique<CrashTask>(services, *peers, *configuration);
   gate = std::make_unique<GateTask>(services, *peers, *configuration, *crashes);
   measure = std::make_unique<MeasureTask>(services, *peers,
                                           [this] { return gate->load(); });
-  ingress = std::make_unique<IngressTask>(services, *peers, *configuration,
-                                          *measure, *crashes, *gate, policy);
+  rollouts = std::make_unique<RolloutTask>(services, *peers, *configuration,
+                                           std::move(bindings.rolloutStatus));
+  ingress =
+      std::make_unique<IngressTask>(services, *peers, *configuration, *measure,
+                                    *crashes, *gate, *rollouts, policy);
   status = std::make_unique<StatusTask>(services, *peers, *configuration,
                                         *measure, *crashes, *gate);
   seeds = std::make_unique<SeedTask>(services, *peers);
@@ -76,6 +78,7 @@
     measure->onMessage(message);
     crashes->onMessage(message);
     configuration->onMessage(message);
+    rollouts->onMessage(message);
   };
   listeners.configurationVersion = [this](const Address &sender,
                                           std::uint64_t version) {
@@ -102,6 +105,7 @@
   configuration->addAdoptionListener(
       [this](const ConfigurationPtr & /*before*/) {
         measure->setRates(configuration->current()->measure());
+        rollouts->onConfiguration();
       });
   gate->onLoadStep([this] { measure->broadcastLoad(); });
   TurnMonitor::instance().setListener(
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -25,6 +25,8 @@
   CallProtocol callProtocol = makeNativeCallProtocol();
   /** Parses the texts of configuration versions. */
   ConfigurationReplica::Builder builder = ConfigurationReplica::buildRules;
+  /** Where operators read how far roll-outs are; nothing if there are none. */
+  std::optional<RolloutStatusFormat> rolloutStatus;
 };
 
 /** Owns all tasks of one process. Not thread-safe: use on the main loop only.
@@ -88,6 +90,7 @@
   std::unique_ptr<CrashTask> crashes;
   std::unique_ptr<GateTask> gate;
   std::unique_ptr<MeasureTask> measure;
+  std::unique_ptr<RolloutTask> rollouts;
   std::unique_ptr<IngressTask> ingress;
   std::unique_ptr<StatusTask> status;
   std::unique_ptr<SeedTask> seeds;
@@ -106,7 +109,7 @@
   Node(NodeSettings settings, CallProtocol callProtocol)
       : services(std::move(settings), std::move(callProtocol)) {}
 
-  void makeTasks(AnyPickPolicy policy, ConfigurationReplica::Builder builder);
+  void makeTasks(AnyPickPolicy policy, PlatformBindings bindings);
   void startTasks();
   void connectTasks();
   Checked<bool> listen();
--- a/src/process/Member.h
+++ b/src/process/Member.h
@@ -39,6 +39,8 @@
   /** Identifies the instance, that is one start of the target. */
   std::string bootId;
   std::string loadPath;
+  /** The version of its software; empty if it does not tell. */
+  std::string softwareVersion;
   TargetState state = TargetState::Absent;
   /** True if the target has called other services through its node while it
    * processed a request. */
@@ -54,7 +56,7 @@
   /** Serialization hook. */
   template <typename Archive> void serialize(Archive &archive) {
     archive(service, address, slots, coldSlots, connections, bootId, loadPath,
-            state, callsOtherServices);
+            softwareVersion, state, callsOtherServices);
     internal::checkEnum(state, TargetState::Leaving);
   }
 };
--- a/src/process/Message.h
+++ b/src/process/Message.h
@@ -7,6 +7,7 @@
 #include "base/HybridClock.h"
 #include "process/BoundedSerialization.h"
 #include "process/Member.h"
+#include "process/RolloutPhase.h"
 
 #include <cstdint>
 #include <limits>
@@ -193,11 +194,41 @@
   }
 };
 
+/** What a node has seen of a roll-out, sent to the nodes that may decide about
+ * it. Answered by a RolloutNews if the receiver decides or knows the end. */
+struct RolloutReport {
+  std::string service;
+  std::uint64_t order = 0;
+  /** As far as the sender knows. */
+  RolloutPhase phase = RolloutPhase::Unknown;
+  /** Time since the order became known. */
+  std::uint32_t ageMs = 0;
+  std::vector<RolloutCount> counts;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(service, order, phase, ageMs, counts);
+    internal::checkEnum(phase, RolloutPhase::Completed);
+  }
+};
+
+/** How far a roll-out is, as the deciding node says. */
+struct RolloutNews {
+  std::string service;
+  std::uint64_t order = 0;
+  RolloutPhase phase = RolloutPhase::Unknown;
+  /** Time since the order became known. */
+  std::uint32_t ageMs = 0;
+  template <typename Archive> void serialize(Archive &archive) {
+    archive(service, order, phase, ageMs);
+    internal::checkEnum(phase, RolloutPhase::Completed);
+  }
+};
+
 /** The payload of a datagram. */
 using MessageBody =
     std::variant<Ping, Ack, PingRequest, Gossip, LoadProbe, LoadReport,
                  CrashReport, CrashAck, CrashCleared, CrashQuery, RelayedLoad,
-                 VersionQuery, VersionProof, RuleQuery, RuleAnswer>;
+                 VersionQuery, VersionProof, RuleQuery, RuleAnswer,
+                 RolloutReport, RolloutNews>;
 
 /** Fields common to all messages between nodes. Messages with another protocol
  * number or cluster name are dropped. */
--- a/src/process/Rendezvous.cpp
+++ b/src/process/Rendezvous.cpp
@@ -72,4 +72,20 @@
   return selected;
 }
 
+std::vector<Address> findHighest(const Membership &membership,
+                                 std::string_view task, std::size_t count) {
+  const Address &self = membership.self().peersAddress;
+  std::vector<std::pair<std::uint64_t, Address>> candidates{
+      {weightOf(self, task), self}};
+  for (const Member &member : membership.others() | std::views::values)
+    if (member.liveness == Liveness::Alive)
+      candidates.emplace_back(weightOf(member.peersAddress, task),
+                              member.peersAddress);
+  std::ranges::sort(candidates, std::ranges::greater{});
+  std::vector<Address> highest;
+  std::ranges::copy(candidates | std::views::values | std::views::take(count),
+                    std::back_inserter(highest));
+  return highest;
+}
+
 } // namespace plantainhatch
--- a/src/process/Rendezvous.h
+++ b/src/process/Rendezvous.h
@@ -29,6 +29,12 @@
 std::vector<Address> findSpread(const Membership &membership,
                                 std::string_view task, std::size_t count);
 
+/** The peers addresses of the \p count live members of all failure domains with
+ * the highest hash for \p task, the highest first. Views may differ, as for
+ * isSelectedFor(). Has no side effects. */
+std::vector<Address> findHighest(const Membership &membership,
+                                 std::string_view task, std::size_t count);
+
 } // namespace plantainhatch
 
 #endif
--- /dev/null
+++ b/src/process/Rollout.cpp
@@ -0,0 +1,66 @@
+#include "process/Rollout.h"
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+#include <ranges>
+
+namespace plantainhatch {
+
+Rollout::Rollout(RolloutRule rule, Limits limits, std::uint64_t seed,
+                 TimePoint now)
+    : current(std::move(rule)), limits(limits), orderedAt(now), heardAt(now),
+      random(seed) {
+  assert(limits.trialShare >= 0 && limits.trialShare <= 1 &&
+         "a share of the calls");
+}
+
+void Rollout::order(const RolloutRule &rule, TimePoint now) {
+  if (rule.order <= current.order)
+    return;
+  if (currentPhase != RolloutPhase::Completed)
+    blocked.insert(current.softwareVersion);
+  blocked.erase(rule.softwareVersion);
+  current = rule;
+  currentPhase = RolloutPhase::Unknown;
+  orderedAt = now;
+  heardAt = now;
+  trials = 0;
+  answers.clear();
+  former.clear();
+}
+
+bool Rollout::onNews(RolloutPhase newPhase, Duration age, TimePoint now) {
+  orderedAt = std::min(orderedAt, now - age);
+  if (newPhase == RolloutPhase::Unknown || newPhase < currentPhase)
+    return false;
+  heardAt = now;
+  return std::exchange(currentPhase, newPhase) != newPhase;
+}
+
+void Rollout::onAnswer(const std::string &rule, bool isOrdered, bool isBad) {
+  const bool isKnown = answers.contains({rule, isOrdered});
+  const std::string name = isKnown || answers.size() < MaxRules ? rule : "";
+  RolloutCount &count = answers[{name, isOrdered}];
+  count.rule = name;
+  count.isOrdered = isOrdered;
+  ++count.answers;
+  count.bad += isBad ? 1 : 0;
+  if (!isOrdered && std::bernoulli_distribution(limits.trialShare)(random))
+    trials = std::min(trials + 1, MaxTrials);
+}
+
+bool Rollout::takeTrial(TimePoint now) {
+  const bool isAllowed = currentPhase == RolloutPhase::Running &&
+                         now - heardAt <= limits.lease && trials > 0;
+  trials -= isAllowed ? 1 : 0;
+  return isAllowed;
+}
+
+std::vector<RolloutCount> Rollout::counts() const {
+  std::vector<RolloutCount> all;
+  std::ranges::copy(answers | std::views::values, std::back_inserter(all));
+  return all;
+}
+
+} // namespace plantainhatch
--- /dev/null
+++ b/src/process/Rollout.h
@@ -0,0 +1,100 @@
+/** \file
+ * What one node knows of the roll-out of one service. */
+#ifndef PLANTAINHATCH_PROCESS_ROLLOUT_H
+#define PLANTAINHATCH_PROCESS_ROLLOUT_H
+
+#include "base/Time.h"
+#include "process/RolloutPhase.h"
+#include "version/Rule.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace plantainhatch {
+
+/** The orders to move a service to another version of its software, as one
+ * process has heard of them: which versions may get calls, how many calls the
+ * ordered one may get, and how the answers were. Only the latest order is in
+ * progress. Has no clock and sends nothing. Not thread-safe. */
+class Rollout {
+public:
+  /** How much of its calls a node may try out, and for how long it may after
+   * it has heard that the roll-out goes on. */
+  struct Limits {
+    /** Calls to the ordered version, as a share of the answers of others. */
+    double trialShare = 0;
+    std::chrono::milliseconds lease{0};
+  };
+  /** Calls of rules beyond these are counted together, so that what nodes tell
+   * one another is bounded. */
+  static constexpr std::size_t MaxRules = 24;
+  /** Trials that may be saved up while there is no call or no target. */
+  static constexpr unsigned MaxTrials = 2;
+  /** After this long without news, a service that has no targets but those of
+   * the ordered version is served by these. */
+  static constexpr std::chrono::milliseconds MaxSilence{3'000};
+
+  /** \pre \p limits.trialShare is from 0 to 1. */
+  Rollout(RolloutRule rule, Limits limits, std::uint64_t seed, TimePoint now);
+
+  /** Begins a later order. The version of an order that was not completed gets
+   * no calls any more, until it is ordered again. Has no effect for an order
+   * that is not later. */
+  void order(const RolloutRule &rule, TimePoint now);
+
+  /** Takes over what the deciding node says of the order in progress, unless
+   * more is known. \param age time since the order, as that node knows it.
+   * \return true if the phase has changed. */
+  bool onNews(RolloutPhase newPhase, Duration age, TimePoint now);
+
+  /** Counts an answer. That of a former version may allow a trial. */
+  void onAnswer(const std::string &rule, bool isOrdered, bool isBad);
+
+  /** Uses up a trial. \return false if none may be made now. */
+  bool takeTrial(TimePoint now);
+
+  /** Remembers that this version served before the roll-out is completed. */
+  void noteFormer(const std::string &softwareVersion) {
+    former.insert(softwareVersion);
+  }
+
+  const RolloutRule &rule() const { return current; }
+  RolloutPhase phase() const { return currentPhase; }
+  /** True if nothing more will be decided about the order. */
+  bool isOver() const { return currentPhase >= RolloutPhase::RolledBack; }
+  bool isFormer(const std::string &softwareVersion) const {
+    return former.contains(softwareVersion);
+  }
+  /** True for the versions of earlier orders that were not completed. */
+  bool isBlocked(const std::string &softwareVersion) const {
+    return blocked.contains(softwareVersion);
+  }
+  /** True if there was no news for MaxSilence. */
+  bool isSilent(TimePoint now) const { return now - heardAt >= MaxSilence; }
+  /** Time since the order became known to any node that was heard. */
+  Duration age(TimePoint now) const { return now - orderedAt; }
+  /** The answers since the order. */
+  std::vector<RolloutCount> counts() const;
+
+private:
+  RolloutRule current;
+  Limits limits;
+  RolloutPhase currentPhase = RolloutPhase::Unknown;
+  TimePoint orderedAt;
+  /** When the latest news came, or the order if there was none. */
+  TimePoint heardAt;
+  unsigned trials = 0;
+  std::mt19937_64 random;
+  /** By rule, and whether the answers are of the ordered version. */
+  std::map<std::pair<std::string, bool>, RolloutCount> answers;
+  std::set<std::string> former;
+  std::set<std::string> blocked;
+};
+
+} // namespace plantainhatch
+
+#endif
--- a/src/request/Candidate.h
+++ b/src/request/Candidate.h
@@ -23,6 +23,10 @@
   bool isSuspect = false;
   /** True if the target has called other services while it ran calls. */
   bool callsOtherServices = false;
+  /** The version of the target's software. */
+  std::string softwareVersion;
+  /** True if a roll-out moves the service to this version. */
+  bool isOrdered = false;
   LoadEstimate load;
 
   /** A load report that shows a full queue is valid for this long. */
--- a/src/request/collectCandidates.cpp
+++ b/src/request/collectCandidates.cpp
@@ -22,6 +22,7 @@
   candidate.isLocalDomain = member.failureDomain == self.failureDomain;
   candidate.isSuspect = member.liveness == Liveness::Suspect;
   candidate.callsOtherServices = member.target.callsOtherServices;
+  candidate.softwareVersion = member.target.softwareVersion;
   // Without a load report, assume the limit that the target has while cold, so
   // that it does not get more calls than it can run then.
   candidate.load =
--- /dev/null
+++ b/src/request/narrowToRollout.cpp
@@ -0,0 +1,110 @@
+#include "request/narrowToRollout.h"
+
+#include "base/Digest.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace plantainhatch {
+
+namespace {
+
+/** One target of the ordered version gets trials for this many others, whose
+ * share of the calls then is about as large. */
+constexpr std::size_t OthersPerTrialTarget = 25;
+
+/** True for a target that a trial may go to. Without room there it would count
+ * as if no target of the service had any. */
+bool mayTryOut(const Candidate &candidate) {
+  return candidate.isOrdered && !candidate.isSaturated();
+}
+
+bool isOther(const Candidate &candidate) { return !candidate.isOrdered; }
+
+template <typename Predicate>
+void keep(std::vector<Candidate> &candidates, Predicate mayStay) {
+  std::erase_if(candidates, std::not_fn(mayStay));
+}
+
+/** Leaves the few targets of the ordered version that all nodes try out. */
+void keepTrialTargets(std::vector<Candidate> &candidates,
+                      const Rollout &rollout) {
+  const auto otherCount =
+      static_cast<std::size_t>(std::ranges::count_if(candidates, isOther));
+  keep(candidates, mayTryOut);
+  const auto isWarm = [](const Candidate &it) {
+    return !it.load.isCold && !it.isSuspect;
+  };
+  // Cold targets bear few calls each.
+  if (std::ranges::none_of(candidates, isWarm))
+    return;
+  keep(candidates, isWarm);
+  const std::string task = std::to_string(rollout.rule().order);
+  std::ranges::sort(candidates, {}, [&](const Candidate &it) {
+    return stableHash(it.peersAddress.toString() + "/" + task);
+  });
+  const std::size_t count =
+      std::max<std::size_t>(1, otherCount / OthersPerTrialTarget);
+  candidates.resize(std::min(candidates.size(), count));
+}
+
+void narrowWhileRunning(std::vector<Candidate> &candidates, Rollout &rollout,
+                        bool isRepeat, TimePoint now) {
+  const bool isTrial = !isRepeat &&
+                       std::ranges::any_of(candidates, mayTryOut) &&
+                       rollout.takeTrial(now);
+  if (isTrial)
+    keepTrialTargets(candidates, rollout);
+  else
+    keep(candidates, isOther);
+}
+
+/** All calls go to the ordered version as long as it has room, and what it
+ * refuses goes to the others. */
+void narrowWhileMoving(std::vector<Candidate> &candidates, bool isRepeat) {
+  const auto isFree = [](const Candidate &it) {
+    return it.isOrdered && it.utilization() < 1 && !it.isSuspect;
+  };
+  if (!isRepeat && std::ranges::any_of(candidates, isFree))
+    keep(candidates, isFree);
+}
+
+} // namespace
+
+void narrowToRollout(std::vector<Candidate> &candidates, Rollout &rollout,
+                     bool isRepeat, TimePoint now) {
+  const std::string &orderedVersion = rollout.rule().softwareVersion;
+  for (Candidate &it : candidates) {
+    it.isOrdered = it.softwareVersion == orderedVersion;
+    if (!it.isOrdered && rollout.phase() != RolloutPhase::Completed &&
+        rollout.phase() != RolloutPhase::RolledBack)
+      rollout.noteFormer(it.softwareVersion);
+  }
+  const auto isFormer = [&](const Candidate &it) {
+    return rollout.isFormer(it.softwareVersion);
+  };
+  std::erase_if(candidates, [&](const Candidate &it) {
+    return rollout.isBlocked(it.softwareVersion);
+  });
+  switch (rollout.phase()) {
+  case RolloutPhase::Unknown:
+    if (!rollout.isSilent(now) || std::ranges::any_of(candidates, isOther))
+      keep(candidates, isOther);
+    break;
+  case RolloutPhase::Running:
+    narrowWhileRunning(candidates, rollout, isRepeat, now);
+    break;
+  case RolloutPhase::Moving:
+    narrowWhileMoving(candidates, isRepeat);
+    break;
+  case RolloutPhase::RolledBack:
+    keep(candidates, isOther);
+    break;
+  case RolloutPhase::Completed:
+    if (!std::ranges::all_of(candidates, isFormer))
+      std::erase_if(candidates, isFormer);
+    break;
+  }
+}
+
+} // namespace plantainhatch
--- a/src/version/Configuration.cpp
+++ b/src/version/Configuration.cpp
@@ -168,6 +168,11 @@
   targetTraits.emplace(std::move(service), std::move(traits));
 }
 
+void Configuration::addRule(RolloutRule rule) {
+  std::string service = rule.service;
+  rolloutRules.emplace(std::move(service), std::move(rule));
+}
+
 void Configuration::addRule(TeamRule rule) {
   std::string name = rule.name;
   const auto [it, isNew] = teams.emplace(std::move(name), std::move(rule));
--- a/src/version/Configuration.h
+++ b/src/version/Configuration.h
@@ -110,6 +110,11 @@
   /** All teams, by name. */
   const std::map<std::string, TeamRule> &teamRules() const { return teams; }
 
+  /** The roll-outs that are ordered, by service. */
+  const std::map<std::string, RolloutRule> &rollouts() const {
+    return rolloutRules;
+  }
+
   /** True if a rule allows the request with this fingerprint although it is
    * suspected of crashing targets. */
   bool isAllowed(std::uint64_t fingerprint) const {
@@ -138,6 +143,7 @@
   MeasureRule measureRule;
   std::set<std::uint64_t> allowedRequests;
   std::map<std::string, TargetTraits> targetTraits;
+  std::map<std::string, RolloutRule> rolloutRules;
   std::map<std::string, TeamRule> teams;
   /** By the digest of a key; entries of \ref teams. */
   std::unordered_map<std::string, const TeamRule *> teamsByKey;
@@ -153,6 +159,7 @@
   }
   void addRule(TargetTraits traits);
   void addRule(TeamRule rule);
+  void addRule(RolloutRule rule);
   Findings addRecords(const Configuration &previous);
   Findings addRecord(std::string_view line);
   void indexServices();
--- a/src/version/Rule.h
+++ b/src/version/Rule.h
@@ -130,6 +130,17 @@
   unsigned connectionLimit = 0;
 };
 
+/** Moves a service's calls to targets of another version of its software. */
+struct RolloutRule {
+  std::string service;
+  /** The version that the calls are to move to. */
+  std::string softwareVersion;
+  /** From the order until the move must be complete or taken back. */
+  std::chrono::milliseconds duration{0};
+  /** Identifies the order; a later one for the service has a higher number. */
+  std::uint64_t order = 0;
+};
+
 /** Any rule. */
 using Rule = std::variant<ServiceRule, DomainRule, VmRule, MeasureRule,
                           AllowRule, TeamRule>;
--- a/src/version/RuleRecord.cpp
+++ b/src/version/RuleRecord.cpp
@@ -55,11 +55,18 @@
           rule.origin.author};
 }
 
+json::array toJson(const RolloutRule &rule) {
+  return {rule.service, rule.softwareVersion, rule.duration.count(),
+          rule.order};
+}
+
 std::string_view prefixOf(const RuleRecord &record) {
   if (std::holds_alternative<ServiceRule>(record))
     return ServicePrefix;
   if (std::holds_alternative<TeamRule>(record))
     return TeamPrefix;
+  if (std::holds_alternative<RolloutRule>(record))
+    return RolloutRecordPrefix;
   return std::holds_alternative<DomainRule>(record) ? DomainRecordPrefix
                                                     : TraitsPrefix;
 }
@@ -136,6 +143,16 @@
   return rule;
 }
 
+RolloutRule readRollout(const json::value &fields) {
+  FieldReader reader(fields);
+  RolloutRule rule;
+  rule.service = reader.text();
+  rule.softwareVersion = reader.text();
+  rule.duration = std::chrono::milliseconds(reader.integer<std::int64_t>());
+  rule.order = reader.integer<std::uint64_t>();
+  return rule;
+}
+
 } // namespace
 
 std::string encodeRecord(const RuleRecord &record) {
@@ -161,14 +178,17 @@
       return readTraits(parse(TraitsPrefix));
     if (isOf(TeamPrefix))
       return readTeam(parse(TeamPrefix));
+    if (isOf(RolloutRecordPrefix))
+      return readRollout(parse(RolloutRecordPrefix));
   } catch (const std::exception &error) {
     return Findings{{"record", 0, 0, {}, error.what()}};
   }
-  return Findings{{"record",
-                   0,
-                   0,
-                   {},
-                   "starts neither with service, domain, traits nor team"}};
+  return Findings{
+      {"record",
+       0,
+       0,
+       {},
+       "starts neither with service, domain, traits, team nor rollout"}};
 }
 
 } // namespace plantainhatch
--- a/src/version/RuleRecord.h
+++ b/src/version/RuleRecord.h
@@ -15,10 +15,12 @@
 
 /** A rule that one line of text can hold. */
 using RuleRecord =
-    std::variant<ServiceRule, DomainRule, TargetTraits, TeamRule>;
+    std::variant<ServiceRule, DomainRule, TargetTraits, TeamRule, RolloutRule>;
 
 /** Start of the lines of domain rules. */
 inline constexpr std::string_view DomainRecordPrefix = "domain ";
+/** Start of the lines of roll-outs. */
+inline constexpr std::string_view RolloutRecordPrefix = "rollout ";
 
 /** The line of \p record, with its line break. Equal records give equal lines.
  * Invalid UTF-8 is replaced. Pure. */
--- /dev/null
+++ b/test/correctness/RolloutTest.cpp
@@ -0,0 +1,281 @@
+/** \file
+ * Decisions about roll-outs, without a network. */
+#include "process/Rollout.h"
+#include "process/RolloutVerdict.h"
+#include "request/narrowToRollout.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainhatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double ExposureShare = 0.1;
+constexpr double ExposureSlack = 50;
+constexpr Rollout::Limits Limits{0.04, 2'500ms};
+const RolloutRule Order{"shop", "v2", 14s, 5};
+
+Candidate candidateOf(std::uint16_t port, const std::string &version) {
+  Candidate candidate;
+  candidate.peersAddress = {"10.0.0.1", port};
+  candidate.softwareVersion = version;
+  candidate.load.limit = 10;
+  return candidate;
+}
+
+std::vector<Candidate> makeFleet(std::uint16_t others, std::uint16_t ordered) {
+  std::vector<Candidate> fleet;
+  for (std::uint16_t n = 0; n < others; ++n)
+    fleet.push_back(candidateOf(n, "v1"));
+  for (std::uint16_t n = 0; n < ordered; ++n)
+    fleet.push_back(candidateOf(others + n, "v2"));
+  return fleet;
+}
+
+} // namespace
+
+TEST_GROUP(Rollout) {
+  TimePoint now{1h};
+  Rollout rollout{Order, Limits, 1, now};
+
+  /** Of \p calls first tries, how many went to the ordered version. */
+  unsigned countTrials(unsigned calls, std::vector<Candidate> fleet) {
+    unsigned trials = 0;
+    for (unsigned n = 0; n < calls; ++n) {
+      auto candidates = fleet;
+      narrowToRollout(candidates, rollout, false, now);
+      CHECK(!candidates.empty());
+      const bool isTrial = candidates.front().isOrdered;
+      rollout.onAnswer("rule", isTrial, false);
+      trials += isTrial ? 1 : 0;
+    }
+    return trials;
+  }
+
+  std::size_t left(const std::string &version, bool isRepeat = false) {
+    auto candidates = makeFleet(3, 2);
+    narrowToRollout(candidates, rollout, isRepeat, now);
+    return static_cast<std::size_t>(
+        std::ranges::count(candidates, version, &Candidate::softwareVersion));
+  }
+};
+
+// Guards against a version that gets calls before any node has said that its
+// roll-out goes on, or after the deciding node has fallen silent.
+TEST(Rollout, NothingIsTriedOutWithoutFreshNews) {
+  LONGS_EQUAL(0, countTrials(1'000, makeFleet(30, 4)));
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  CHECK(countTrials(1'000, makeFleet(30, 4)) > 10);
+  now += Limits.lease + 1ms;
+  LONGS_EQUAL(0, countTrials(1'000, makeFleet(30, 4)));
+}
+
+// Guards against a share that grows with the number of nodes, with restarts, or
+// with calls that no target has answered.
+TEST(Rollout, ExposureStaysInBoundsAtAnySizeOfFleetAndWithRestarts) {
+  for (const unsigned nodes : {9U, 58U, 300U}) {
+    std::mt19937_64 random(nodes);
+    std::vector<std::unique_ptr<Rollout>> all(nodes);
+    const auto start = [&](unsigned n) {
+      all[n] = std::make_unique<Rollout>(Order, Limits, random(), now);
+      all[n]->onNews(RolloutPhase::Running, 0s, now);
+    };
+    for (unsigned n = 0; n < nodes; ++n)
+      start(n);
+    constexpr unsigned Calls = 7'000;
+    unsigned ordered = 0;
+    for (unsigned call = 0; call < Calls; ++call) {
+      const auto n = static_cast<unsigned>(random() % nodes);
+      if (random() % 100 == 0)
+        start(n);
+      auto candidates = makeFleet(30, 4);
+      narrowToRollout(candidates, *all[n], random() % 5 == 0, now);
+      const bool isOrdered = candidates.front().isOrdered;
+      ordered += isOrdered ? 1 : 0;
+      if (random() % 3 != 0)
+        all[n]->onAnswer("rule", isOrdered, false);
+    }
+    CHECK(ordered < Calls * ExposureShare / 2 + ExposureSlack);
+    CHECK(ordered > Calls / 100);
+  }
+}
+
+TEST(Rollout, TrialsGoToFewWarmTargetsAndNeverToRepeats) {
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  auto fleet = makeFleet(60, 8);
+  fleet.back().load.isCold = true;
+  std::set<Address> tried;
+  for (unsigned n = 0; n < 5'000; ++n) {
+    auto candidates = fleet;
+    narrowToRollout(candidates, rollout, n % 2 == 0, now);
+    rollout.onAnswer("rule", false, false);
+    for (const Candidate &it : candidates)
+      if (it.isOrdered) {
+        CHECK(n % 2 == 1);
+        CHECK(!it.load.isCold);
+        tried.insert(it.peersAddress);
+      }
+  }
+  LONGS_EQUAL(2, tried.size());
+}
+
+TEST(Rollout, EndsAreFinalAndStoredCompletionOverridesARollBack) {
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  CHECK(left("v1") > 0);
+  CHECK(rollout.onNews(RolloutPhase::RolledBack, 0s, now));
+  CHECK(!rollout.onNews(RolloutPhase::Moving, 0s, now));
+  LONGS_EQUAL(0, left("v2"));
+  LONGS_EQUAL(3, left("v1"));
+  CHECK(rollout.onNews(RolloutPhase::Completed, 0s, now));
+  CHECK(!rollout.onNews(RolloutPhase::RolledBack, 0s, now));
+  LONGS_EQUAL(0, left("v1"));
+  LONGS_EQUAL(2, left("v2"));
+}
+
+TEST(Rollout, MovingPrefersTheOrderedVersionAndKeepsTheOthersForRepeats) {
+  rollout.onNews(RolloutPhase::Moving, 0s, now);
+  LONGS_EQUAL(0, left("v1"));
+  LONGS_EQUAL(3, left("v1", true));
+}
+
+// Guards against calls to a version that was rolled back, or whose order was
+// replaced before it was decided, until it is ordered again.
+TEST(Rollout, VersionsThatWereNotCompletedStayOutUntilOrderedAgain) {
+  rollout.onNews(RolloutPhase::RolledBack, 0s, now);
+  rollout.order({"shop", "v3", 14s, 9}, now);
+  LONGS_EQUAL(0, left("v2"));
+  LONGS_EQUAL(3, left("v1"));
+  rollout.order({"shop", "v2", 14s, 12}, now);
+  rollout.onNews(RolloutPhase::Completed, 0s, now);
+  LONGS_EQUAL(2, left("v2"));
+}
+
+// Guards against workers that an ordinary release starts after a roll-out, and
+// that get no calls, as they are not of the version that was ordered.
+TEST(Rollout, VersionsThatAppearAfterCompletionGetCalls) {
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  CHECK(left("v1") > 0);
+  rollout.onNews(RolloutPhase::Completed, 0s, now);
+  auto candidates = makeFleet(1, 1);
+  candidates.push_back(candidateOf(9, "v3"));
+  narrowToRollout(candidates, rollout, false, now);
+  LONGS_EQUAL(2, candidates.size());
+  LONGS_EQUAL(
+      1, std::ranges::count(candidates, "v3", &Candidate::softwareVersion));
+}
+
+// Guards against an outage after a start of all nodes while the store is away,
+// where nobody knows that the roll-out was completed.
+TEST(Rollout, OnlyVersionServesOnceNobodyHasNews) {
+  auto candidates = makeFleet(0, 2);
+  narrowToRollout(candidates, rollout, false, now);
+  CHECK(candidates.empty());
+  now += Rollout::MaxSilence;
+  candidates = makeFleet(0, 2);
+  narrowToRollout(candidates, rollout, false, now);
+  LONGS_EQUAL(2, candidates.size());
+}
+
+TEST_GROUP(RolloutVerdict) {
+  static constexpr unsigned Nodes = 20;
+  static constexpr std::array<const char *, 3> Rules{"a", "b", "c"};
+  static constexpr unsigned CallsPerTick = 261;
+  static constexpr unsigned Ticks = 28;
+
+  /** Share of bad answers of a rule in a tick, of one version. */
+  using Badness = std::function<double(const std::string &, unsigned)>;
+
+  std::mt19937_64 random{7};
+  RolloutVerdict verdict;
+
+  /** Plays a roll-out of 14 s whose reports may be late or lost, and whose
+   * nodes start anew. \return bad answers until the verdict; nothing if there
+   * was none. */
+  std::optional<unsigned> play(const Badness &ordered, const Badness &others) {
+    std::vector<Rollout> nodes;
+    std::vector<std::uint64_t> generations(Nodes, 1);
+    const auto makeNode = [&] {
+      Rollout rollout(Order, Limits, random(), TimePoint{});
+      rollout.onNews(RolloutPhase::Running, 0s, TimePoint{});
+      return rollout;
+    };
+    std::generate_n(std::back_inserter(nodes), Nodes, makeNode);
+    unsigned bad = 0;
+    for (unsigned tick = 0; tick < Ticks; ++tick) {
+      for (unsigned call = 0; call < CallsPerTick; ++call) {
+        Rollout &node = nodes[random() % Nodes];
+        const std::string rule = Rules[random() % Rules.size()];
+        const bool isOrdered = node.takeTrial(TimePoint{});
+        const bool isBad = std::bernoulli_distribution(
+            (isOrdered ? ordered : others)(rule, tick))(random);
+        node.onAnswer(rule, isOrdered, isBad);
+        bad += isOrdered && isBad ? 1 : 0;
+      }
+      const unsigned restarted = random() % Nodes;
+      if (random() % 10 == 0) {
+        nodes[restarted] = makeNode();
+        ++generations[restarted];
+      }
+      for (std::uint16_t n = 0; n < Nodes; ++n)
+        if (random() % 4 != 0)
+          verdict.add({"10.0.0.1", n}, generations[n], nodes[n].counts());
+      verdict.judge();
+      if (verdict.fault())
+        return bad;
+    }
+    return std::nullopt;
+  }
+
+  static Badness constant(double share) {
+    return [share](const std::string &, unsigned) { return share; };
+  }
+};
+
+TEST(RolloutVerdict, GoodVersionPassesAlsoWhileTheServiceHasTrouble) {
+  for (unsigned n = 0; n < 50; ++n) {
+    verdict = {};
+    CHECK(!play(constant(0.01), constant(0.01)));
+    verdict = {};
+    const Badness trouble = [](const std::string &rule, unsigned tick) {
+      return rule == "b" && tick > 10 && tick < 20 ? 0.4 : 0.02;
+    };
+    CHECK(!play(trouble, trouble));
+  }
+}
+
+// Guards against a bad version that is found too late: the time for the
+// roll-back begins with its 50th bad answer.
+TEST(RolloutVerdict, BadVersionIsFoundBeforeItsFiftiethBadAnswer) {
+  const Badness kinds[] = {
+      constant(0.3),
+      [](const std::string &, unsigned tick) { return tick > 18 ? 0.5 : 0.0; },
+      [](const std::string &rule, unsigned) {
+        return rule == "c" ? 0.5 : 0.0;
+      }};
+  for (const Badness &kind : kinds)
+    for (unsigned n = 0; n < 50; ++n) {
+      verdict = {};
+      const auto bad = play(kind, constant(0.02));
+      CHECK(bad.has_value());
+      CHECK(*bad < 50);
+    }
+}
+
+TEST(RolloutVerdict, SumsThatComeTwiceOrLateCountOnce) {
+  const RolloutCount first{"a", true, 10, 3};
+  const RolloutCount second{"a", true, 12, 4};
+  verdict.add({"10.0.0.1", 1}, 1, {second});
+  verdict.add({"10.0.0.1", 1}, 1, {first});
+  verdict.add({"10.0.0.1", 1}, 1, {second});
+  verdict.judge();
+  LONGS_EQUAL(12, verdict.orderedAnswers());
+  CHECK(!verdict.fault());
+  verdict.add({"10.0.0.1", 1}, 2, {first});
+  verdict.judge();
+  LONGS_EQUAL(22, verdict.orderedAnswers());
+}
--- a/test/error/SettingsUpdateTest.cpp
+++ b/test/error/SettingsUpdateTest.cpp
@@ -47,6 +47,7 @@
       {"site.coldSlack", [](auto &it) { it.site->coldSlack = 9; }},
       {"site.retryRatio", [](auto &it) { it.site->retryRatio = 0.9; }},
       {"site.retryExtra", [](auto &it) { it.site->retryExtra = 9; }},
+      {"site.rollout", [](auto &it) { it.site->rollout = RolloutSettings{}; }},
       {"site.probesPerSecond", [](auto &it) { it.site->probesPerSecond = 9; }}};
   for (const Change &change : changes) {
     NodeSettings next = current;
--- a/test/platform/AdapterTest.cpp
+++ b/test/platform/AdapterTest.cpp
@@ -394,6 +394,34 @@
             .insertedBytes() < 256);
 }
 
+// Guards against an order that only some nodes take for a new one, and against
+// an odd row that keeps the configuration from coming into force.
+TEST(OperatorRows, RolloutIsAnOrderUntilItsRowIsGone) {
+  const std::string order =
+      R"({"service":"s","target":"v2","duration_s":12.5})";
+  rows["rollout/s"] = {order, 17};
+  rows["rollout/odd"] = {R"({"target":7})", 18};
+  const auto all = decode(rows).value();
+  CHECK_EQUAL(1, all->rollouts().size());
+  const RolloutRule &rule = all->rollouts().at("s");
+  STRCMP_EQUAL("v2", rule.softwareVersion.c_str());
+  CHECK(rule.duration == std::chrono::milliseconds(12'500));
+  CHECK_EQUAL(17, rule.order);
+  const auto again =
+      build(6,
+            platform::encodeChanges(
+                *all, {{"rollout/s", platform::OperatorRow(order, 21)}}),
+            *all)
+          .value();
+  CHECK_EQUAL(21, again->rollouts().at("s").order);
+  rows["rollout/s"] = {order, 21};
+  STRCMP_EQUAL(decode(rows).value()->text().c_str(), again->text().c_str());
+  const auto gone =
+      build(7, platform::encodeChanges(*again, {{"rollout/s", {}}}), *again)
+          .value();
+  CHECK(gone->rollouts().empty());
+}
+
 // Guards against rows that change the same table in different ways at the node
 // that reads them all and at the one that hears of the changes.
 TEST(OperatorRows, ChangesGiveTheSameTextAsAllRows) {
--- a/test/platform/DeployTemplateTest.cpp
+++ b/test/platform/DeployTemplateTest.cpp
@@ -3,10 +3,12 @@
 #include "base/Settings.h"
 #include "support/Fleet.h"
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <regex>
+
+#include <CppUTest/TestHarness.h>
 
 using namespace plantainhatch;
 using namespace plantainhatch::test;
@@ -27,26 +29,45 @@
   return text;
 }
 
-/** As the platform writes it, with \p grace as the bound grace_s. */
-std::string makeSettings(const std::string &grace) {
-  return fillIn(
+/** Leaves out the sections about bounds that the site does not have. */
+std::string fillInSections(const std::string &text,
+                           const std::map<std::string, std::string> &values) {
+  static const std::regex Section(R"(\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\})");
+  std::string filled;
+  auto rest = text.cbegin();
+  for (std::sregex_iterator it(text.begin(), text.end(), Section), end;
+       it != end; ++it) {
+    filled.append(rest, (*it)[0].first);
+    filled += values.contains((*it)[1].str()) ? (*it)[2].str() : "";
+    rest = (*it)[0].second;
+  }
+  return filled.append(rest, text.cend());
+}
+
+/** As the platform writes it, with \p grace as the bound grace_s, and with the
+ * bounds that only some sites have. */
+std::string makeSettings(const std::string &grace,
+                         const std::map<std::string, std::string> &more = {}) {
+  const std::string text = fillInSections(
       readFile(PLANTAINHATCH_SOURCE "/deploy/node.json.template").value(),
-      {{"zone|json", R"("zone-0")"},
-       {"listen_addresses.outbound|json", R"("10.0.0.7:1")"},
-       {"listen_addresses.control|json", R"("10.0.0.7:2")"},
-       {"listen_addresses.inbound|json", R"("10.0.0.7:3")"},
-       {"listen_addresses.ready|json", R"("10.0.0.7:4")"},
-       {"application_address|json", R"("10.0.0.7:5")"},
-       {"service|json", R"("shop")"},
-       {"ip_address", "10.0.0.7"},
-       {"internal_port_range.0", "7380"},
-       {"platform.address", "10.0.0.1:9000"},
-       {"bounds.grace_s", grace},
-       {"bounds.cold_overage", "1.5"},
-       {"bounds.cold_slack", "5"},
-       {"bounds.budget_ratio", "0.2"},
-       {"bounds.budget_extra_tries", "60"},
-       {"bounds.probes_per_s", "60"}});
+      more);
+  return fillIn(fillIn(text, more),
+                {{"zone|json", R"("zone-0")"},
+                 {"listen_addresses.outbound|json", R"("10.0.0.7:1")"},
+                 {"listen_addresses.control|json", R"("10.0.0.7:2")"},
+                 {"listen_addresses.inbound|json", R"("10.0.0.7:3")"},
+                 {"listen_addresses.ready|json", R"("10.0.0.7:4")"},
+                 {"application_address|json", R"("10.0.0.7:5")"},
+                 {"service|json", R"("shop")"},
+                 {"ip_address", "10.0.0.7"},
+                 {"internal_port_range.0", "7380"},
+                 {"platform.address", "10.0.0.1:9000"},
+                 {"bounds.grace_s", grace},
+                 {"bounds.cold_overage", "1.5"},
+                 {"bounds.cold_slack", "5"},
+                 {"bounds.budget_ratio", "0.2"},
+                 {"bounds.budget_extra_tries", "60"},
+                 {"bounds.probes_per_s", "60"}});
 }
 
 } // namespace
@@ -89,3 +110,30 @@
     CHECK_TEXT(isNamed, toString(settings.error()).c_str());
   }
 }
+
+// Guards against roll-outs at a site that has no bounds for them, and against a
+// template that gives no settings where it has.
+TEST(DeployTemplate, RolloutsNeedTheBoundsOfTheSite) {
+  CHECK(!readWith("6").value().requireSite().rollout);
+  const auto settings = readNodeSettings(files.write(
+      "node.json", makeSettings("6", {{"bounds.exposure_share", "0.1"},
+                                      {"bounds.rollback_ms", "5000"}})));
+  CHECK_TEXT(settings.has_value(),
+             settings ? "" : toString(settings.error()).c_str());
+  const auto &rollout = settings.value().requireSite().rollout;
+  CHECK(rollout.has_value());
+  DOUBLES_EQUAL(0.1, rollout->exposureShare, 1e-9);
+  CHECK(rollout->rollback == milliseconds(5'000));
+}
+
+TEST(DeployTemplate, RolloutBoundsOutOfRangeAreReportedWithTheirFields) {
+  const auto settings = readNodeSettings(files.write(
+      "node.json", makeSettings("6", {{"bounds.exposure_share", "1.5"},
+                                      {"bounds.rollback_ms", "20"}})));
+  CHECK(!settings.has_value());
+  const std::string faults = toString(settings.error());
+  CHECK_TEXT(faults.find("site.rollout.exposureShare") != std::string::npos,
+             faults.c_str());
+  CHECK_TEXT(faults.find("site.rollout.rollbackMs") != std::string::npos,
+             faults.c_str());
+}
--- /dev/null
+++ b/test/platform/RolloutsTest.cpp
@@ -0,0 +1,118 @@
+/** \file
+ * Roll-outs at real nodes on loopback. */
+#include "platform/SiteFixture.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace plantainhatch;
+using namespace plantainhatch::test;
+using nlohmann::json;
+using std::chrono::seconds;
+
+TEST_GROUP(Rollouts) {
+  static constexpr std::size_t New = 3;
+  static constexpr seconds Limit{12};
+  SiteFixture site{{"zone-0", "zone-1", "zone-0", "zone-1"}};
+  unsigned calls = 0;
+
+  void start() {
+    for (std::size_t n = 0; n < site.machines.size(); ++n) {
+      json settings = json::parse(site.makeSettingsFile(n, "shop"));
+      // Many trials, so that few calls are needed.
+      settings["site"]["rollout"] = {{"exposureShare", 0.5},
+                                     {"rollbackMs", 5'000}};
+      site.writeSettingsFile(n, settings.dump());
+    }
+    CHECK(site.start());
+  }
+
+  void order(const std::string &version, int durationSeconds) {
+    site.writeRow("rollout/shop", json{{"service", "shop"},
+                                       {"target", version},
+                                       {"duration_s", durationSeconds}}
+                                      .dump());
+  }
+
+  /** Replaces the target of the machine New by one of version v2. */
+  void startNewVersion(SiteTarget::Manner manner) {
+    SiteTarget &target = *site.machines[New]->target;
+    target.crash();
+    target.setSoftwareVersion("v2");
+    target.restart("i-v2", seconds(0));
+    target.setManner(manner);
+    LONGS_EQUAL(200, site.beat(New, "ready"));
+  }
+
+  void callOnce() {
+    const std::string id = "c-" + std::to_string(++calls);
+    site.call(calls % site.machines.size(), "GET", "/v1/x", id);
+  }
+
+  bool callUntil(const std::string &state) {
+    const auto isReached = [&] {
+      callOnce();
+      const json row =
+          json::parse(site.rowOf("status", "rollout/shop"), nullptr, false);
+      return row.is_object() && row.value("state", "") == state;
+    };
+    return Fleet::waitUntil(isReached, Limit);
+  }
+
+  unsigned runsOfNew() const { return site.machines[New]->target->runCount(); }
+};
+
+// Guards against a bad version that keeps getting calls.
+TEST(Rollouts, BadVersionIsRolledBackAndGetsNothingMore) {
+  start();
+  order("v2", 60);
+  CHECK(callUntil("running"));
+  startNewVersion(SiteTarget::Manner::Fail);
+  CHECK(callUntil("rolled_back"));
+  CHECK(runsOfNew() < 50);
+  const unsigned before = runsOfNew();
+  for (unsigned n = 0; n < 100; ++n)
+    callOnce();
+  LONGS_EQUAL(before, runsOfNew());
+  // A process that has not heard of it must not try the version out either.
+  site.machines[0]->node.reset();
+  site.startNode(0);
+  CHECK(Fleet::waitUntil([&] { return site.isReady(0); }));
+  for (unsigned n = 0; n < 100; ++n)
+    callOnce();
+  LONGS_EQUAL(before, runsOfNew());
+}
+
+// Guards against a good version that is not completed by the deadline, and
+// against former targets that are still called then.
+TEST(Rollouts, GoodVersionIsCompletedInTime) {
+  start();
+  order("v2", 4);
+  CHECK(callUntil("running"));
+  const auto orderedAt = std::chrono::steady_clock::now();
+  startNewVersion(SiteTarget::Manner::Answer);
+  CHECK(callUntil("completed"));
+  CHECK(std::chrono::steady_clock::now() - orderedAt < seconds(4));
+  const unsigned before = runsOfNew();
+  for (unsigned n = 0; n < 40; ++n)
+    callOnce();
+  LONGS_EQUAL(before + 40, runsOfNew());
+}
+
+// Guards against a decision that is forgotten because the store is away when it
+// is made.
+TEST(Rollouts, RollBackIsWrittenOnceTheStoreIsBack) {
+  start();
+  order("v2", 60);
+  CHECK(callUntil("running"));
+  startNewVersion(SiteTarget::Manner::Fail);
+  site.setStore({{"mode", "down"}});
+  for (unsigned n = 0; n < 400; ++n)
+    callOnce();
+  const unsigned before = runsOfNew();
+  CHECK(before < 50);
+  site.setStore({{"mode", "up"}});
+  CHECK(callUntil("rolled_back"));
+  LONGS_EQUAL(before, runsOfNew());
+}
--- a/test/platform/SiteFixture.cpp
+++ b/test/platform/SiteFixture.cpp
@@ -201,14 +201,15 @@
 
 json SiteTarget::heartbeat(const std::string &state,
                            const Address &shownAddress) {
-  return {{"address", shownAddress.toString()},
-          {"born", births},
-          {"information",
-           {{"service", service}, {"version", "v1"}, {"slots", slots}}},
-          {"status",
-           {{"state", state},
-            {"sequence", ++sequence},
-            {"cold_remaining_ms", coldLeft().count()}}}};
+  return {
+      {"address", shownAddress.toString()},
+      {"born", births},
+      {"information",
+       {{"service", service}, {"version", softwareVersion}, {"slots", slots}}},
+      {"status",
+       {{"state", state},
+        {"sequence", ++sequence},
+        {"cold_remaining_ms", coldLeft().count()}}}};
 }
 
 SiteFixture::SiteFixture(const std::vector<std::string> &failureDomains,
@@ -330,6 +331,13 @@
   writeRow("config", makeConfiguration(version));
 }
 
+std::string SiteFixture::rowOf(const std::string &table,
+                               const std::string &key) {
+  const auto answer =
+      http.get(store, "/standin/row?table=" + table + "&key=" + key);
+  return answer.status == 200 ? answer.body : std::string();
+}
+
 unsigned SiteFixture::setStore(const json &order) {
   return http.send(store, "POST", "/standin/control", {}, order.dump()).status;
 }
--- a/test/platform/SiteFixture.h
+++ b/test/platform/SiteFixture.h
@@ -48,6 +48,10 @@
   void setSlowdown(unsigned percent) { slowdownPercent = percent; }
   /** How many calls it bears at once, as it says in heartbeats. */
   void setSlots(unsigned count) { slots = count; }
+  /** The version of its software, as it says in heartbeats. */
+  void setSoftwareVersion(std::string version) {
+    softwareVersion = std::move(version);
+  }
   /** Called when a request is begun, with its identifier. */
   void onRun(std::function<void(const std::string &)> action) {
     runAction = std::move(action);
@@ -91,6 +95,7 @@
   Duration serviceTime{};
   unsigned slowdownPercent = 100;
   unsigned slots = 9;
+  std::string softwareVersion = "v1";
   std::function<void(const std::string &)> runAction;
   /** Calls at work; they end with the target. */
   std::list<std::unique_ptr<Timer>> work;
@@ -153,6 +158,8 @@
   /** The same for any table. */
   void writeRowOf(const std::string &table, const std::string &key,
                   const std::optional<std::string> &value);
+  /** The value of a row of any table; empty if there is none. */
+  std::string rowOf(const std::string &table, const std::string &key);
   /** Writes the configuration of this version, which alone has a route with
    * the prefix /v<version>/. */
   void writeConfiguration(unsigned version);
