--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -78,6 +78,15 @@
           reader.requireNumber("slack", 0, MostSlack)};
 }
 
+RolloutSettings readRollout(SettingsReader &reader) {
+  RolloutSettings rollout;
+  rollout.exposureShare = reader.requireNumber("exposureShare", 0, 1);
+  rollout.rollback =
+      readMilliseconds(reader, "rollbackMs", RolloutSettings::MinRollback,
+                       RolloutSettings::MaxRollback);
+  return rollout;
+}
+
 SiteSettings readSite(SettingsReader &reader) {
   constexpr double MostRate = 1e6;
   SiteSettings site;
@@ -94,6 +103,11 @@
   site.retryRatio = reader.requireNumber("retryRatio", 0, 1);
   site.retryExtra = reader.requireNumber("retryExtra", 0, MostRate);
   site.probesPerSecond = reader.requireNumber("probesPerSecond", 0, MostRate);
+  if (reader.has("rollout")) {
+    SettingsReader section = reader.section("rollout");
+    site.rollout = readRollout(section);
+    reader.absorb(section);
+  }
   return site;
 }
 
--- a/src/node/IngressTask.h
+++ b/src/node/IngressTask.h
@@ -10,6 +10,7 @@
 #include "node/MeasureTask.h"
 #include "node/PeerTask.h"
 #include "node/QuotaTask.h"
+#include "node/RolloutTask.h"
 #include "request/LatencyWindow.h"
 #include "request/PickPolicy.h"
 #include "request/RetryBudget.h"
@@ -47,7 +48,7 @@
   IngressTask(NodeServices &services, PeerTask &peers,
               ConfigurationTask &configuration, MeasureTask &measure,
               CrashTask &crashes, GateTask &gate, QuotaTask &quotas,
-              AnyPickPolicy policy);
+              RolloutTask &rollouts, AnyPickPolicy policy);
 
   /** Serves a call from a caller. \param onDone is called exactly once, when
    * the call has ended; possibly before serve() returns. */
@@ -86,6 +87,7 @@
   CrashTask &crashes;
   GateTask &gate;
   QuotaTask &quotas;
+  RolloutTask &rollouts;
 
 private:
   AnyPickPolicy policy;
