--- a/test/correctness/StoreEraTest.cpp
+++ b/test/correctness/StoreEraTest.cpp
@@ -273,6 +273,29 @@
   CHECK_EQUAL(9, numberOf(makeStoreVersion(3, 9)));
 }
 
+// Guards against numbers of two eras that are compared: the row may be newer
+// than the rise although its number is lower.
+TEST(StoreEraOrder, RowThatIsThereTakesItsDomainOut) {
+  ModelStore store;
+  store.write({ConfigurationRow, documentOf(1)});
+  store.number = 9;
+  store.write({"evacuate/z0", std::nullopt});
+  ModelNode node;
+  node.ask(store, true);
+  node.take(0);
+  store.number = 5;
+  store.write({"evacuate/z0", "{}"});
+  store.era = 1;
+  node.position = makeStoreVersion(0, 10);
+  node.offer(versionFromTable(
+      *Configuration::makeFromRecords(makeConfigurationHead(10),
+                                      node.replica.current()->text(),
+                                      *node.replica.current())
+           .value(),
+      store.table(), true));
+  CHECK(node.replica.current()->findDomainOut("z0") != nullptr);
+}
+
 // Guards against calls of a node that has not read the new era yet and are
 // refused at once, and against those that are then run for good.
 TEST(StoreEraOrder, FirstVersionOfAnEraSupersedesOlderOnesLater) {
