Let the first version of an era with a new text supersede at once

The grace of 10 s is for a version that differs by its number alone; a real change had it as well, so that calls by the old text ran on. It is given only if the text has the digest of the one before.

FirstVersionOfAnEraWithAnotherTextSupersedesAtOnce failed before. The test beside it names the same text now.

--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -590,7 +590,7 @@
   const ConfigurationHead &head = replica.current()->head();
   const TimePoint now = NodeServices::now();
   const Duration lag = heard.lag(now);
-  history.onAdopted(head.version, now);
+  history.onAdopted(head.version, now, head.digest == before->head().digest);
   heard.onInForce(head.version);
   services.metrics.latency("configuration_lag_seconds").record(lag);
   peers.setConfigurationVersion(head.version);
--- a/src/process/VersionHistory.cpp
+++ b/src/process/VersionHistory.cpp
@@ -6,10 +6,11 @@
 
 namespace plantainhatch {
 
-void VersionHistory::onAdopted(std::uint64_t version, TimePoint now) {
-  const bool isNewEra =
-      !adoptions.empty() && eraOf(version) > eraOf(adoptions.back().version);
-  adoptions.push_back({version, isNewEra ? now + EraGrace : now});
+void VersionHistory::onAdopted(std::uint64_t version, TimePoint now,
+                               bool hasSameText) {
+  const bool isSameInNewEra = hasSameText && !adoptions.empty() &&
+                              eraOf(version) > eraOf(adoptions.back().version);
+  adoptions.push_back({version, isSameInNewEra ? now + EraGrace : now});
   if (adoptions.size() > MaxVersions)
     adoptions.pop_front();
 }
--- a/src/process/VersionHistory.h
+++ b/src/process/VersionHistory.h
@@ -17,13 +17,15 @@
 class VersionHistory {
 public:
   static constexpr std::size_t MaxVersions = 32;
-  /** The first version of an era supersedes older ones only after this long, as
-   * it may differ from them by its number alone; a later one does so at once.
-   */
+  /** The first version of an era supersedes older ones only after this long if
+   * it differs from the one before by its number alone; any other does so at
+   * once. */
   static constexpr std::chrono::seconds EraGrace{10};
 
-  /** \p version has come into force. \pre It is newer than all before. */
-  void onAdopted(std::uint64_t version, TimePoint now);
+  /** \p version has come into force. \pre It is newer than all before.
+   * \param hasSameText it differs from the one before by its number alone. */
+  void onAdopted(std::uint64_t version, TimePoint now,
+                 bool hasSameText = false);
 
   /** Since when \p version is superseded, which is when the first version after
    * it came into force, apart from EraGrace; the earliest time that is kept if
--- a/test/correctness/StoreEraTest.cpp
+++ b/test/correctness/StoreEraTest.cpp
@@ -303,9 +303,19 @@
   const TimePoint start{};
   const auto second = std::chrono::seconds(1);
   history.onAdopted(makeStoreVersion(0, 5), start);
-  history.onAdopted(makeStoreVersion(1, 4), start + second);
+  history.onAdopted(makeStoreVersion(1, 4), start + second, true);
   CHECK(*history.supersededAt(makeStoreVersion(0, 5)) ==
         start + second + VersionHistory::EraGrace);
   history.onAdopted(makeStoreVersion(1, 6), start + 2 * second);
   CHECK(*history.supersededAt(makeStoreVersion(0, 5)) == start + 2 * second);
 }
+
+// Guards against a real change whose supersession waits as if it were none.
+TEST(StoreEraOrder, FirstVersionOfAnEraWithAnotherTextSupersedesAtOnce) {
+  VersionHistory history;
+  const TimePoint start{};
+  const auto second = std::chrono::seconds(1);
+  history.onAdopted(makeStoreVersion(0, 5), start);
+  history.onAdopted(makeStoreVersion(1, 4), start + second, false);
+  CHECK(*history.supersededAt(makeStoreVersion(0, 5)) == start + second);
+}
