--- a/src/process/Rollout.cpp
+++ b/src/process/Rollout.cpp
@@ -18,9 +18,18 @@
 void Rollout::order(const RolloutRule &rule, TimePoint now) {
   if (rule.order <= current.order)
     return;
+  const bool isAgain = currentPhase == RolloutPhase::Completed &&
+                       rule.softwareVersion == current.softwareVersion;
+  if (isAgain) {
+    current = rule;
+    return;
+  }
   if (currentPhase != RolloutPhase::Completed)
     blocked.insert(current.softwareVersion);
+  if (currentPhase == RolloutPhase::RolledBack)
+    rolledBack.insert(current.softwareVersion);
   blocked.erase(rule.softwareVersion);
+  rolledBack.erase(rule.softwareVersion);
   current = rule;
   currentPhase = RolloutPhase::Unknown;
   orderedAt = now;
@@ -35,7 +44,9 @@
   if (newPhase == RolloutPhase::Unknown || newPhase < currentPhase)
     return false;
   heardAt = now;
-  return std::exchange(currentPhase, newPhase) != newPhase;
+  const bool isNew = std::exchange(currentPhase, newPhase) != newPhase;
+  endedAt = isNew ? now : endedAt;
+  return isNew;
 }
 
 void Rollout::onAnswer(const std::string &rule, bool isOrdered, bool isBad) {
@@ -51,8 +62,8 @@
 }
 
 bool Rollout::takeTrial(TimePoint now) {
-  const bool isAllowed = currentPhase == RolloutPhase::Running &&
-                         now - heardAt <= limits.lease && trials > 0;
+  const bool isAllowed =
+      currentPhase == RolloutPhase::Running && hasLease(now) && trials > 0;
   trials -= isAllowed ? 1 : 0;
   return isAllowed;
 }
--- a/src/process/Rollout.h
+++ b/src/process/Rollout.h
@@ -37,6 +37,8 @@
   /** After this long without news, a service that has no targets but those of
    * the ordered version is served by these. */
   static constexpr std::chrono::milliseconds MaxSilence{3'000};
+  /** How long after the end former targets are still about to stop. */
+  static constexpr std::chrono::seconds FormerTime{10};
 
   /** \pre \p limits.trialShare is from 0 to 1. */
   Rollout(RolloutRule rule, Limits limits, std::uint64_t seed, TimePoint now);
@@ -73,6 +75,18 @@
   bool isBlocked(const std::string &softwareVersion) const {
     return blocked.contains(softwareVersion);
   }
+  /** True for those of them that were rolled back, for certain. */
+  bool isRolledBack(const std::string &softwareVersion) const {
+    return rolledBack.contains(softwareVersion);
+  }
+  /** True if it ended long ago. Targets of former versions that appear since
+   * are no rest of the roll-out, but replace others. */
+  bool isLongOver(TimePoint now) const {
+    return isOver() && now - endedAt >= FormerTime;
+  }
+  /** True if what was heard lately allows calls to the ordered version. */
+  bool hasLease(TimePoint now) const { return now - heardAt <= limits.lease; }
+  double trialShare() const { return limits.trialShare; }
   /** True if there was no news for MaxSilence. */
   bool isSilent(TimePoint now) const { return now - heardAt >= MaxSilence; }
   /** Time since the order became known to any node that was heard. */
@@ -87,12 +101,14 @@
   TimePoint orderedAt;
   /** When the latest news came, or the order if there was none. */
   TimePoint heardAt;
+  TimePoint endedAt;
   unsigned trials = 0;
   std::mt19937_64 random;
   /** By rule, and whether the answers are of the ordered version. */
   std::map<std::pair<std::string, bool>, RolloutCount> answers;
   std::set<std::string> former;
   std::set<std::string> blocked;
+  std::set<std::string> rolledBack;
 };
 
 } // namespace plantainhatch
--- a/src/request/narrowToRollout.cpp
+++ b/src/request/narrowToRollout.cpp
@@ -3,16 +3,13 @@
 #include "base/Digest.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
 namespace plantainhatch {
 
 namespace {
 
-/** One target of the ordered version gets trials for this many others, whose
- * share of the calls then is about as large. */
-constexpr std::size_t OthersPerTrialTarget = 25;
-
 /** True for a target that a trial may go to. Without room there it would count
  * as if no target of the service had any. */
 bool mayTryOut(const Candidate &candidate) {
@@ -43,13 +40,18 @@
   std::ranges::sort(candidates, {}, [&](const Candidate &it) {
     return stableHash(it.peersAddress.toString() + "/" + task);
   });
-  const std::size_t count =
-      std::max<std::size_t>(1, otherCount / OthersPerTrialTarget);
-  candidates.resize(std::min(candidates.size(), count));
+  // As many as get about the calls of one of the others each.
+  const auto count = static_cast<std::size_t>(
+      std::ceil(static_cast<double>(otherCount) * rollout.trialShare()));
+  candidates.resize(
+      std::min(candidates.size(), std::max<std::size_t>(1, count)));
 }
 
 void narrowWhileRunning(std::vector<Candidate> &candidates, Rollout &rollout,
                         bool isRepeat, TimePoint now) {
+  // The service has no other target.
+  if (!isRepeat && std::ranges::none_of(candidates, isOther))
+    return;
   const bool isTrial = !isRepeat &&
                        std::ranges::any_of(candidates, mayTryOut) &&
                        rollout.takeTrial(now);
@@ -60,8 +62,13 @@
 }
 
 /** All calls go to the ordered version as long as it has room, and what it
- * refuses goes to the others. */
-void narrowWhileMoving(std::vector<Candidate> &candidates, bool isRepeat) {
+ * refuses goes to the others. Without news, nobody may judge it. */
+void narrowWhileMoving(std::vector<Candidate> &candidates,
+                       const Rollout &rollout, bool isRepeat, TimePoint now) {
+  if (!rollout.hasLease(now) && std::ranges::any_of(candidates, isOther)) {
+    keep(candidates, isOther);
+    return;
+  }
   const auto isFree = [](const Candidate &it) {
     return it.isOrdered && it.utilization() < 1 && !it.isSuspect;
   };
@@ -83,8 +90,14 @@
   const auto isFormer = [&](const Candidate &it) {
     return rollout.isFormer(it.softwareVersion);
   };
-  std::erase_if(candidates, [&](const Candidate &it) {
+  const auto isBlocked = [&](const Candidate &it) {
     return rollout.isBlocked(it.softwareVersion);
+  };
+  // One whose end is not known here may be what the service runs with.
+  const bool isAllBlocked = std::ranges::all_of(candidates, isBlocked);
+  std::erase_if(candidates, [&](const Candidate &it) {
+    return rollout.isRolledBack(it.softwareVersion) ||
+           (!isAllBlocked && isBlocked(it));
   });
   switch (rollout.phase()) {
   case RolloutPhase::Unknown:
@@ -95,13 +108,13 @@
     narrowWhileRunning(candidates, rollout, isRepeat, now);
     break;
   case RolloutPhase::Moving:
-    narrowWhileMoving(candidates, isRepeat);
+    narrowWhileMoving(candidates, rollout, isRepeat, now);
     break;
   case RolloutPhase::RolledBack:
     keep(candidates, isOther);
     break;
   case RolloutPhase::Completed:
-    if (!std::ranges::all_of(candidates, isFormer))
+    if (!rollout.isLongOver(now) && !std::ranges::all_of(candidates, isFormer))
       std::erase_if(candidates, isFormer);
     break;
   }
