Refuse a call before it uses up a turn of the traffic split

A call that is refused as its time had passed while it waited, or as it was sent behind others, took a turn of the split's services and none of them a call.

Both are tested before the service is chosen; the line of their end names no service from now on. No test of its own.

--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -182,7 +182,6 @@
     return;
   }
   setTeamHeader();
-  service = task.chooseService(*rule);
   const auto timeout = timeoutOf(incoming->request(), *rule,
                                  task.services.callProtocol.timeoutMsHeader);
   if (!timeout) {
@@ -190,14 +189,6 @@
     return;
   }
   deadline = arrivedAt + *timeout;
-  fingerprint = fingerprintOf(*request, service);
-  decision =
-      std::make_unique<CallDecision>(isIdempotent(*request, *rule), deadline,
-                                     task.budgetOf(service), rule->attempts);
-  if (task.crashes.isQuarantined(fingerprint)) {
-    rejectForNow(std::string(toString(Refusal::Quarantined)));
-    return;
-  }
   // A version that came into force since may say otherwise than the one by
   // which the call was begun. It would run again if an answer before its own
   // closes the connection.
@@ -206,7 +197,17 @@
     return;
   }
   if (NodeServices::now() >= deadline) {
-    perform(decision->onDeadline());
+    reject(httpStatus::GatewayTimeout, "deadline");
+    return;
+  }
+  // Uses up a turn of the traffic split.
+  service = task.chooseService(*rule);
+  fingerprint = fingerprintOf(*request, service);
+  decision =
+      std::make_unique<CallDecision>(isIdempotent(*request, *rule), deadline,
+                                     task.budgetOf(service), rule->attempts);
+  if (task.crashes.isQuarantined(fingerprint)) {
+    rejectForNow(std::string(toString(Refusal::Quarantined)));
     return;
   }
   const CallPtr self(this);
