Give a partial request its time again while one before it runs

Requests behind one that runs are read since they may run beside it, so that a part of one was refused with 408 after 10 s, also on listeners where requests run in turn; its client may just wait for the answer before it.

The timer starts anew while any request before it is not answered.

SentBehind.PartOfARequestBehindOneThatRunsIsNotTimed fails without the change.

--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -242,8 +242,9 @@
 void ServerConnection::onArrivalTimeout() {
   if (isDone || isClosing)
     return;
-  // While nothing is taken in, the request cannot arrive.
-  if (!mayParse())
+  // While nothing is taken in, the request cannot arrive; and its client may
+  // wait for the answers before it.
+  if (!mayParse() || !line.empty())
     startArrivalTimer();
   else
     refuse(httpStatus::RequestTimeout,
--- a/test/error/SentBehindTest.cpp
+++ b/test/error/SentBehindTest.cpp
@@ -228,6 +228,17 @@
   CHECK_EQUAL(1, begun.size());
 }
 
+// Guards against a time for its bytes that a client uses to wait for an answer.
+TEST(SentBehind, PartOfARequestBehindOneThatRunsIsNotTimed) {
+  send(get("u") + "GET /b HT");
+  pause(ServerConnection::MaxHeadTime + milliseconds(500));
+  answer(0);
+  STRCMP_EQUAL("u ", bodies().c_str());
+  CHECK_FALSE(hasEnded);
+  send("TP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(begun == Names({"u", "b"}));
+}
+
 // Guards against an interim answer amid the answer to another request.
 TEST(SentBehind, RequestIsAskedToContinueWhenAllBeforeAreAnswered) {
   send(get("a") + "POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
