Begin nothing behind an answer that has started to stream

None is begun behind one from when it starts to stream until it is complete.

SentBehind.NoneIsBegunBehindAnAnswerThatIsStreamed fails without the change.

--- a/src/connection/AnswerSlot.h
+++ b/src/connection/AnswerSlot.h
@@ -26,6 +26,8 @@
   std::function<void()> written;
   /** True if requests behind this one may run beside it. */
   bool runsBeside = false;
+  /** True while the answer is sent in parts. */
+  bool isStreaming = false;
   bool isEnded = false;
   bool mustClose = false;
 
--- a/src/connection/IncomingCall.cpp
+++ b/src/connection/IncomingCall.cpp
@@ -79,6 +79,7 @@
     bytes += "Content-Length: " + std::to_string(*head.contentLength) + "\r\n";
   else if (isChunked)
     bytes += "Transfer-Encoding: chunked\r\n";
+  connection->onStreamed(*this);
   connection->send(*this, bytes + "\r\n");
 }
 
--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -341,6 +341,11 @@
     slot->written = std::move(written);
 }
 
+void ServerConnection::onStreamed(const IncomingCall &call) {
+  if (!isDone)
+    slotOf(call)->isStreaming = true;
+}
+
 void ServerConnection::onAnswered(const IncomingCall &call) {
   if (isDone)
     return;
@@ -349,6 +354,7 @@
   slot->mustClose = slot->closes();
   slot->call = nullptr;
   slot->isEnded = true;
+  slot->isStreaming = false;
   slot->requestBytes = 0;
   if (slot->mustClose)
     dropFrom(std::next(slot));
@@ -410,7 +416,7 @@
   if (hasPeerEnded)
     return false;
   const auto next = std::ranges::find_if(line, [](const AnswerSlot &it) {
-    return it.waiting || !it.runsBeside || it.closes();
+    return it.waiting || !it.runsBeside || it.closes() || it.isStreaming;
   });
   if (next == line.end() || !next->waiting)
     return false;
--- a/src/connection/ServerConnection.h
+++ b/src/connection/ServerConnection.h
@@ -79,6 +79,8 @@
    * kept and more may be kept besides. */
   void sendThen(const IncomingCall &call, std::string_view bytes,
                 Action written);
+  /** The answer is going to be sent in parts, and may break off. */
+  void onStreamed(const IncomingCall &call);
   /** The answer is complete. */
   void onAnswered(const IncomingCall &call);
   /** The answer stays incomplete. The connection ends, so that the other side
--- a/test/error/SentBehindTest.cpp
+++ b/test/error/SentBehindTest.cpp
@@ -288,6 +288,19 @@
   CHECK(got.ends_with("\r\n0\r\n\r\n"));
 }
 
+// Guards against requests that run and whose answers are lost with one that
+// breaks off before them.
+TEST(SentBehind, NoneIsBegunBehindAnAnswerThatIsStreamed) {
+  send(get("a"));
+  const GBytesPtr chunk(g_bytes_new("<a1>", 4));
+  calls[0]->startStream({200, {}, std::nullopt});
+  calls[0]->writeChunk(chunk.get(), nullptr);
+  send(getAll({"b", "c"}));
+  CHECK(begun == Names({"a"}));
+  calls[0]->endStream();
+  CHECK(begun == Names({"a", "b", "c"}));
+}
+
 // Guards against whole answers that are lost with one behind them.
 TEST(SentBehind, AnswerThatBreaksOffLeavesThoseBeforeItWhole) {
   send(getAll({"a", "b", "c"}));
