Bound the requests that run behind others over all connections

Each connection might have 15 of them, whatever the number of connections. Above 1,024 in the process only the request in front of each connection is begun.

SentBehind.RunningBesideOthersIsBoundedOverAllConnections fails without the change: 1,280 requests were begun.

--- a/src/connection/AnswerSlot.h
+++ b/src/connection/AnswerSlot.h
@@ -8,9 +8,32 @@
 #include <cstddef>
 #include <functional>
 #include <string>
+#include <utility>
 
 namespace plantainhatch {
 
+/** Counts the requests of the process that run behind others, for as long as
+ * each is marked. Used on the main loop only. */
+class BesideMark {
+public:
+  BesideMark() = default;
+  ~BesideMark() { set(false); }
+  BesideMark(const BesideMark &) = delete;
+  BesideMark &operator=(const BesideMark &) = delete;
+  BesideMark(BesideMark &&) = delete;
+  BesideMark &operator=(BesideMark &&) = delete;
+
+  void set(bool isWanted) {
+    if (std::exchange(isSet, isWanted) != isWanted)
+      isWanted ? ++count : --count;
+  }
+  static std::size_t all() { return count; }
+
+private:
+  bool isSet = false;
+  static inline std::size_t count = 0;
+};
+
 /** A request that was read and has not been answered in full, and what of its
  * answer waits for those before it. Used on the main loop only. */
 struct AnswerSlot {
@@ -24,6 +47,7 @@
   std::string held;
   /** Called when \ref held has left. */
   std::function<void()> written;
+  BesideMark beside;
   /** True if requests behind this one may run beside it. */
   bool runsBeside = false;
   /** True while the answer is sent in parts. */
--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -355,6 +355,7 @@
   slot->call = nullptr;
   slot->isEnded = true;
   slot->isStreaming = false;
+  slot->beside.set(false);
   slot->requestBytes = 0;
   if (slot->mustClose)
     dropFrom(std::next(slot));
@@ -378,6 +379,7 @@
     return;
   }
   slot->written = nullptr;
+  slot->beside.set(false);
   slot->isEnded = true;
   slot->mustClose = true;
   dropFrom(std::next(slot));
@@ -406,6 +408,8 @@
     return false;
   isClosing = isClosing || front.mustClose;
   line.pop_front();
+  if (!line.empty())
+    line.front().beside.set(false);
   chargeBuffers();
   if (isClosing && line.empty() && !socket.hasQueued())
     linger();
@@ -421,8 +425,10 @@
   if (next == line.end() || !next->waiting)
     return false;
   next->runsBeside = *mayRunBeside && (*mayRunBeside)(next->waiting->request());
-  if (!next->runsBeside && next != line.begin())
+  const bool isFront = next == line.begin();
+  if (!isFront && (!next->runsBeside || BesideMark::all() >= MaxBesideOthers))
     return false;
+  next->beside.set(!isFront);
   (*handler)(std::exchange(next->waiting, nullptr));
   return true;
 }
--- a/src/connection/ServerConnection.h
+++ b/src/connection/ServerConnection.h
@@ -38,6 +38,9 @@
   static constexpr std::size_t MaxBodyBytes = 1024UL * 1024;
   /** Requests that were taken in and not yet answered in full. */
   static constexpr std::size_t MaxRequests = 16;
+  /** Requests of all connections that run and are not in front. While there are
+   * as many, only those in front are begun. */
+  static constexpr std::size_t MaxBesideOthers = 1'024;
   /** No further request is taken in while those of the connection, and answers
    * that wait to be sent, hold as much. */
   static constexpr std::size_t MaxHeldBytes = 256UL * 1024;
--- a/test/error/SentBehindTest.cpp
+++ b/test/error/SentBehindTest.cpp
@@ -36,13 +36,14 @@
   Names begun;
   Names gone;
   std::size_t answerBytes = 0;
+  Address address;
   std::unique_ptr<HttpServer> server;
   StreamSocket caller;
   std::string got;
   bool hasEnded = false;
 
   void setup() override {
-    const Address address = freeAddress();
+    address = freeAddress();
     server = std::move(HttpServer::listen(
                            address, "server",
                            [this](const IncomingCallPtr &it) { serve(it); },
@@ -323,6 +324,28 @@
   CHECK_EQUAL(2, begun.size());
 }
 
+// Guards against a bound of each connection that many connections exceed.
+TEST(SentBehind, RunningBesideOthersIsBoundedOverAllConnections) {
+  constexpr std::size_t Max = ServerConnection::MaxRequests;
+  constexpr std::size_t Callers = 80;
+  std::vector<StreamSocket> callers;
+  for (std::size_t n = 0; n < Callers; ++n)
+    callers.push_back(std::move(*StreamSocket::connect(address)));
+  pause(milliseconds(50));
+  for (StreamSocket &it : callers)
+    CHECK(it.write(getAll(Names(Max, "a"))));
+  pause(milliseconds(200));
+  CHECK_EQUAL(Callers + ServerConnection::MaxBesideOthers, begun.size());
+  // Those that are begun meanwhile are appended.
+  for (std::size_t n = 0; n < calls.size(); ++n)
+    answer(n);
+  CHECK_EQUAL(Callers * Max, begun.size());
+  callers.clear();
+  calls.clear();
+  pause(milliseconds(50));
+  CHECK_EQUAL(0, BesideMark::all());
+}
+
 TEST(SentBehind, ThousandsThatAreNotReadHoldNoMoreThanTheBound) {
   constexpr std::size_t Requests = 2'000;
   constexpr std::size_t AnswerBytes = 64UL * 1024;
