--- a/test/error/SentBehindTest.cpp
+++ b/test/error/SentBehindTest.cpp
@@ -329,6 +329,7 @@
   constexpr std::size_t Max = ServerConnection::MaxRequests;
   constexpr std::size_t Callers = 80;
   std::vector<StreamSocket> callers;
+  callers.reserve(Callers);
   for (std::size_t n = 0; n < Callers; ++n)
     callers.push_back(std::move(*StreamSocket::connect(address)));
   pause(milliseconds(50));
