--- a/src/connection/ServerConnection.cpp
+++ b/src/connection/ServerConnection.cpp
@@ -242,8 +242,9 @@
 void ServerConnection::onArrivalTimeout() {
   if (isDone || isClosing)
     return;
-  // While nothing is taken in, the request cannot arrive.
-  if (!mayParse())
+  // While nothing is taken in, the request cannot arrive; and its client may
+  // wait for the answers before it.
+  if (!mayParse() || !line.empty())
     startArrivalTimer();
   else
     refuse(httpStatus::RequestTimeout,
@@ -340,6 +341,11 @@
     slot->written = std::move(written);
 }
 
+void ServerConnection::onStreamed(const IncomingCall &call) {
+  if (!isDone)
+    slotOf(call)->isStreaming = true;
+}
+
 void ServerConnection::onAnswered(const IncomingCall &call) {
   if (isDone)
     return;
@@ -348,6 +354,8 @@
   slot->mustClose = slot->closes();
   slot->call = nullptr;
   slot->isEnded = true;
+  slot->isStreaming = false;
+  slot->beside.set(false);
   slot->requestBytes = 0;
   if (slot->mustClose)
     dropFrom(std::next(slot));
@@ -371,6 +379,7 @@
     return;
   }
   slot->written = nullptr;
+  slot->beside.set(false);
   slot->isEnded = true;
   slot->mustClose = true;
   dropFrom(std::next(slot));
@@ -399,6 +408,8 @@
     return false;
   isClosing = isClosing || front.mustClose;
   line.pop_front();
+  if (!line.empty())
+    line.front().beside.set(false);
   chargeBuffers();
   if (isClosing && line.empty() && !socket.hasQueued())
     linger();
@@ -409,13 +420,15 @@
   if (hasPeerEnded)
     return false;
   const auto next = std::ranges::find_if(line, [](const AnswerSlot &it) {
-    return it.waiting || !it.runsBeside || it.closes();
+    return it.waiting || !it.runsBeside || it.closes() || it.isStreaming;
   });
   if (next == line.end() || !next->waiting)
     return false;
   next->runsBeside = *mayRunBeside && (*mayRunBeside)(next->waiting->request());
-  if (!next->runsBeside && next != line.begin())
+  const bool isFront = next == line.begin();
+  if (!isFront && (!next->runsBeside || BesideMark::all() >= MaxBesideOthers))
     return false;
+  next->beside.set(!isFront);
   (*handler)(std::exchange(next->waiting, nullptr));
   return true;
 }
--- a/test/error/SentBehindTest.cpp
+++ b/test/error/SentBehindTest.cpp
@@ -36,13 +36,14 @@
   Names begun;
   Names gone;
   std::size_t answerBytes = 0;
+  Address address;
   std::unique_ptr<HttpServer> server;
   StreamSocket caller;
   std::string got;
   bool hasEnded = false;
 
   void setup() override {
-    const Address address = freeAddress();
+    address = freeAddress();
     server = std::move(HttpServer::listen(
                            address, "server",
                            [this](const IncomingCallPtr &it) { serve(it); },
@@ -228,6 +229,17 @@
   CHECK_EQUAL(1, begun.size());
 }
 
+// Guards against a time for its bytes that a client uses to wait for an answer.
+TEST(SentBehind, PartOfARequestBehindOneThatRunsIsNotTimed) {
+  send(get("u") + "GET /b HT");
+  pause(ServerConnection::MaxHeadTime + milliseconds(500));
+  answer(0);
+  STRCMP_EQUAL("u ", bodies().c_str());
+  CHECK_FALSE(hasEnded);
+  send("TP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(begun == Names({"u", "b"}));
+}
+
 // Guards against an interim answer amid the answer to another request.
 TEST(SentBehind, RequestIsAskedToContinueWhenAllBeforeAreAnswered) {
   send(get("a") + "POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
@@ -277,6 +289,19 @@
   CHECK(got.ends_with("\r\n0\r\n\r\n"));
 }
 
+// Guards against requests that run and whose answers are lost with one that
+// breaks off before them.
+TEST(SentBehind, NoneIsBegunBehindAnAnswerThatIsStreamed) {
+  send(get("a"));
+  const GBytesPtr chunk(g_bytes_new("<a1>", 4));
+  calls[0]->startStream({200, {}, std::nullopt});
+  calls[0]->writeChunk(chunk.get(), nullptr);
+  send(getAll({"b", "c"}));
+  CHECK(begun == Names({"a"}));
+  calls[0]->endStream();
+  CHECK(begun == Names({"a", "b", "c"}));
+}
+
 // Guards against whole answers that are lost with one behind them.
 TEST(SentBehind, AnswerThatBreaksOffLeavesThoseBeforeItWhole) {
   send(getAll({"a", "b", "c"}));
@@ -299,6 +324,29 @@
   CHECK_EQUAL(2, begun.size());
 }
 
+// Guards against a bound of each connection that many connections exceed.
+TEST(SentBehind, RunningBesideOthersIsBoundedOverAllConnections) {
+  constexpr std::size_t Max = ServerConnection::MaxRequests;
+  constexpr std::size_t Callers = 80;
+  std::vector<StreamSocket> callers;
+  callers.reserve(Callers);
+  for (std::size_t n = 0; n < Callers; ++n)
+    callers.push_back(std::move(*StreamSocket::connect(address)));
+  pause(milliseconds(50));
+  for (StreamSocket &it : callers)
+    CHECK(it.write(getAll(Names(Max, "a"))));
+  pause(milliseconds(200));
+  CHECK_EQUAL(Callers + ServerConnection::MaxBesideOthers, begun.size());
+  // Those that are begun meanwhile are appended.
+  for (std::size_t n = 0; n < calls.size(); ++n)
+    answer(n);
+  CHECK_EQUAL(Callers * Max, begun.size());
+  callers.clear();
+  calls.clear();
+  pause(milliseconds(50));
+  CHECK_EQUAL(0, BesideMark::all());
+}
+
 TEST(SentBehind, ThousandsThatAreNotReadHoldNoMoreThanTheBound) {
   constexpr std::size_t Requests = 2'000;
   constexpr std::size_t AnswerBytes = 64UL * 1024;
