--- a/tools/measure/Decisions.cpp
+++ b/tools/measure/Decisions.cpp
@@ -44,6 +44,7 @@
                    220,
                    "7ebb6e2b-c1a5-47d7-bb47-db30ba2f5433",
                    "/load",
+                   "v1",
                    TargetState::Warm};
   return member;
 }
