--- a/test/error/OddTextTest.cpp
+++ b/test/error/OddTextTest.cpp
@@ -61,7 +61,7 @@
 TEST(OddText, ControlCharactersAndBytesAreNoPlainText) {
   for (const char *const text : {"a", "", "\xc3\xa9", "a b:c/\"'\\"})
     CHECK(isPlainText(text));
-  for (const std::string text :
+  for (const std::string &text :
        {std::string("\0", 1), std::string("\r\n"), std::string("\x7f"),
         std::string("\xff"), std::string("a\xc3")})
     CHECK_FALSE(isPlainText(text));
@@ -70,7 +70,7 @@
 // Guards against the bytes behind a zero byte, or in a scope, as part of a
 // host.
 TEST(OddText, HostWithOddBytesIsNoAddress) {
-  for (const std::string host :
+  for (const std::string &host :
        {std::string("127.0.0.1\0x", 11), std::string("[fe80::1%\xff]"),
         std::string("[fe80::1%\r\n]"), std::string("[fe80::1%\"]")})
     CHECK_FALSE(Address::parse(host + ":80").has_value());
