--- a/src/node/QuotaTask.h
+++ b/src/node/QuotaTask.h
@@ -55,9 +55,9 @@
   /** Interval at which tokens are asked for, and calls stop waiting. */
   static constexpr std::chrono::milliseconds TickInterval{25};
   /** Interval at which a keeper asks for pledges. */
-  static constexpr std::chrono::milliseconds PledgeInterval{500};
+  static constexpr std::chrono::milliseconds PledgeInterval{250};
   /** The same while it has less than half of the quotas. */
-  static constexpr std::chrono::milliseconds EagerPledgeInterval{250};
+  static constexpr std::chrono::milliseconds EagerPledgeInterval{100};
   /** A team that is over its quota is turned away without a question for no
    * longer than this. */
   static constexpr std::chrono::milliseconds MaxOverTime{250};
--- a/src/process/QuotaPocket.cpp
+++ b/src/process/QuotaPocket.cpp
@@ -48,8 +48,10 @@
   advanceSpan(now);
   const double perSpan = std::max(calls, callsBefore);
   const double ahead =
-      std::floor(perSpan * std::chrono::duration<double>(Ahead) /
-                 std::chrono::duration<double>(RateSpan));
+      perSpan < FewestCallsAhead
+          ? 0
+          : std::floor(perSpan * std::chrono::duration<double>(Ahead) /
+                       std::chrono::duration<double>(RateSpan));
   const double needed = static_cast<double>(waiting) + ahead;
   return static_cast<unsigned>(std::max(0.0, needed - held(now)));
 }
--- a/src/process/QuotaPocket.h
+++ b/src/process/QuotaPocket.h
@@ -26,6 +26,9 @@
    * an answer; none for a team whose calls are so far apart that they would end
    * unused. */
   static constexpr std::chrono::milliseconds Ahead{200};
+  /** Calls of a span from which on tokens are asked for ahead; with fewer, many
+   * would end unused. */
+  static constexpr unsigned FewestCallsAhead = 5;
 
   /** A call has come. */
   void onCall(TimePoint now);
