--- a/src/node/QuotaTask.cpp
+++ b/src/node/QuotaTask.cpp
@@ -80,16 +80,16 @@
   const auto token =
       state.waiters.empty() ? state.pocket.take(now) : std::nullopt;
   if (token) {
-    finish(std::move(waiter), {QuotaDecision::Kind::Granted, token, {}});
+    finish(waiter, {QuotaDecision::Kind::Granted, token, {}});
   } else if (now < state.overUntil) {
-    finish(std::move(waiter), {QuotaDecision::Kind::Over, {}, state.wait});
+    finish(waiter, {QuotaDecision::Kind::Over, {}, state.wait});
   } else {
     state.waiters.push_back(std::move(waiter));
     askForTokens(groupOf(name), now);
   }
 }
 
-void QuotaTask::finish(Waiter waiter, QuotaDecision decision) {
+void QuotaTask::finish(const Waiter &waiter, const QuotaDecision &decision) {
   const char *const result =
       decision.kind == QuotaDecision::Kind::Granted ? R"(result="granted")"
       : decision.kind == QuotaDecision::Kind::Over  ? R"(result="over")"
@@ -147,7 +147,7 @@
     const auto found = muted.find(it);
     return found != muted.end() && now < found->second;
   };
-  const Address promised = groups[group].pledge.keeper(now);
+  Address promised = groups[group].pledge.keeper(now);
   if (!promised.isEmpty() && !isMuted(promised) && !hasLeft(promised))
     return promised;
   return selectKeeper(group, isMuted);
@@ -290,9 +290,9 @@
   for (Team &team : teams | std::views::values)
     while (!team.waiters.empty() &&
            now - team.waiters.front().arrivedAt >= MaxWait) {
-      Waiter expired = std::move(team.waiters.front());
+      const Waiter expired = std::move(team.waiters.front());
       team.waiters.pop_front();
-      finish(std::move(expired), {QuotaDecision::Kind::Unknown, {}, MaxWait});
+      finish(expired, {QuotaDecision::Kind::Unknown, {}, MaxWait});
     }
 }
 
@@ -369,9 +369,9 @@
   std::deque<Waiter> remaining;
   for (Waiter &waiter : waiters) {
     if (const auto token = team.pocket.take(now))
-      finish(std::move(waiter), {QuotaDecision::Kind::Granted, token, {}});
+      finish(waiter, {QuotaDecision::Kind::Granted, token, {}});
     else if (isOver && waiter.arrivedAt <= askedAt)
-      finish(std::move(waiter), {QuotaDecision::Kind::Over, {}, wait});
+      finish(waiter, {QuotaDecision::Kind::Over, {}, wait});
     else
       remaining.push_back(std::move(waiter));
   }
--- a/src/node/QuotaTask.h
+++ b/src/node/QuotaTask.h
@@ -153,7 +153,7 @@
   void onAnswer(const Address &sender, const QuotaAnswer &answer);
   void onAllotment(const QuotaAllotment &allotment, TimePoint askedAt,
                    TimePoint now);
-  void finish(Waiter waiter, QuotaDecision decision);
+  void finish(const Waiter &waiter, const QuotaDecision &decision);
 };
 
 } // namespace plantainhatch
