--- a/test/correctness/TeamTest.cpp
+++ b/test/correctness/TeamTest.cpp
@@ -161,6 +161,8 @@
   CHECK(it.has_value());
   const TeamRule *const team = it.value()->findTeam(digestOf("key-one"));
   CHECK(team != nullptr);
+  if (team == nullptr)
+    return;
   CHECK_EQUAL(2, *team->priority);
   DOUBLES_EQUAL(5, team->callsPerSecond, 0.001);
   DOUBLES_EQUAL(9, team->burst, 0.001);
