--- a/test/platform/OddMessagesTest.cpp
+++ b/test/platform/OddMessagesTest.cpp
@@ -324,7 +324,12 @@
                             text.find("odd\r\n") != std::string::npos &&
                             !text.ends_with("odd") && !text.ends_with("new");
       if (!isOfNode)
-        faults.append("\n" + call + "after " + start + ": " + text);
+        faults.append("\n")
+            .append(call)
+            .append("after ")
+            .append(start)
+            .append(": ")
+            .append(text);
     }
   }
   CHECK_TEXT(faults.empty(), faults.c_str());
