--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -502,8 +502,10 @@
 void ConfigurationTask::renewKeyProof(TimePoint now) {
   const auto interval =
       isSourceFailing ? KeyProofRetryInterval : KeyProofAskInterval;
-  const auto bound = *services.settings.keyRevocation;
-  const bool isDue = proofAge::isDueForKeys(guard.confirmedAt(), now, bound);
+  const auto bound = services.settings.keyRevocation;
+  if (!bound)
+    return;
+  const bool isDue = proofAge::isDueForKeys(guard.confirmedAt(), now, *bound);
   if (!isDue || now - lastKeyProofAskAt < interval)
     return;
   lastKeyProofAskAt = now;
