--- a/src/node/ConfigurationTask.cpp
+++ b/src/node/ConfigurationTask.cpp
@@ -502,10 +502,11 @@
 void ConfigurationTask::renewKeyProof(TimePoint now) {
   const auto interval =
       isSourceFailing ? KeyProofRetryInterval : KeyProofAskInterval;
-  const auto bound = services.settings.keyRevocation;
-  if (!bound)
+  const auto revocation = services.settings.keyRevocation;
+  if (!revocation)
     return;
-  const bool isDue = proofAge::isDueForKeys(guard.confirmedAt(), now, *bound);
+  const auto bound = *revocation;
+  const bool isDue = proofAge::isDueForKeys(guard.confirmedAt(), now, bound);
   if (!isDue || now - lastKeyProofAskAt < interval)
     return;
   lastKeyProofAskAt = now;
