Count the calls that repeated runs make in the budget of repeats

Cause: a call that is run again has its target call other services again, and those calls count as repeats there.

Change: NestedCalls infers at the node beside a target which rules the target calls, since its calls come only while it runs something. The ingress tells the gate whether another target may have run the call. Such a call's share of the target's own calls is charged to the budget of the called service at that node, also if it then owes; while it owes, its gate refuses repeats, as not run. What was set aside for uncounted calls goes from a half to a fifth of the part that grows with the calls; the half of the extra attempts stays, for nodes that start anew.

--- a/src/base/TokenBucket.cpp
+++ b/src/base/TokenBucket.cpp
@@ -15,6 +15,11 @@
   return true;
 }
 
+void TokenBucket::takeOwing(double n, TimePoint now) {
+  refill(now);
+  tokens -= n;
+}
+
 void TokenBucket::add(double n) { tokens = std::min(capacity, tokens + n); }
 
 double TokenBucket::available(TimePoint now) {
--- a/src/base/TokenBucket.h
+++ b/src/base/TokenBucket.h
@@ -18,10 +18,14 @@
   /** Takes \p n tokens if they are there; takes nothing otherwise. */
   bool tryTake(double n, TimePoint now);
 
+  /** Takes \p n tokens also if they are not there; the bucket then owes them.
+   */
+  void takeOwing(double n, TimePoint now);
+
   /** Adds \p n tokens, up to the capacity. */
   void add(double n);
 
-  /** The tokens there at \p now. */
+  /** The tokens there at \p now; negative if the bucket owes some. */
   double available(TimePoint now);
 
   /** Changes rate and capacity; tokens above the new capacity are lost. */
--- a/src/node/ForwardedCall.cpp
+++ b/src/node/ForwardedCall.cpp
@@ -81,6 +81,7 @@
         fingerprintOf(*dispatchRequest.request, dispatchRequest.service);
     dispatchRequest.deadline = NodeServices::now() + *timeout;
     dispatchRequest.mayQueue = headerOf(original, headers::MayQueue) == "1";
+    dispatchRequest.isRepeat = headerOf(original, headers::Repeat) == "1";
     dispatchRequest.needsFreshConnection =
         headerOf(original, headers::FreshConnection) == "1";
     dispatchRequest.priority =
--- a/src/node/GateCall.cpp
+++ b/src/node/GateCall.cpp
@@ -24,6 +24,8 @@
 void GateCall::start() {
   state = State::Sent;
   idInFlight = task.idsInFlight.insert(dispatchRequest.request->id);
+  if (dispatchRequest.isRepeat)
+    task.repeatsInFlight.insert(callId);
   bootId = task.gate.target().bootId;
   task.services.metrics.add("gate_handed_over_total");
   const GateCallPtr self(this);
--- a/src/node/GateCall.h
+++ b/src/node/GateCall.h
@@ -28,6 +28,8 @@
   TimePoint deadline;
   /** Whether the gate may queue the call while it has no free slot. */
   bool mayQueue = false;
+  /** Whether another target may have run the call. */
+  bool isRepeat = false;
   /** Whether the call needs a connection that no other call has used. */
   bool needsFreshConnection = false;
   /** Priority in the gate's queue; 0 is the most urgent. */
@@ -96,6 +98,8 @@
   void cancel() override;
 
   CallId id() const { return callId; }
+  /** True if another target may have run the call. */
+  bool isRepeat() const { return dispatchRequest.isRepeat; }
   /** The configuration version that the call is run by. */
   std::uint64_t version() const { return dispatchRequest.version; }
 
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -55,6 +55,11 @@
     call->refuse(Refusal::Outdated);
     return call;
   }
+  if (call->isRepeat() && mayRepeat && !mayRepeat()) {
+    services.metrics.add("gate_refused_total", R"(reason="repeat-budget")");
+    call->refuse(Refusal::RepeatBudget);
+    return call;
+  }
   const Admission admission = gate.admit(gateRequest, now);
   switch (admission.kind) {
   case Admission::Kind::Admitted:
@@ -253,6 +258,7 @@
 }
 
 void GateTask::finish(CallId id, GateOutcome outcome) {
+  repeatsInFlight.erase(id);
   const TargetState before = gate.target().state;
   const auto results = gate.finish(id, outcome, NodeServices::now());
   recordLimitCut();
--- a/src/node/GateTask.h
+++ b/src/node/GateTask.h
@@ -11,6 +11,7 @@
 #include "node/PeerTask.h"
 #include "node/TargetConnectionWatcher.h"
 #include "process/Gate.h"
+#include "process/NestedCalls.h"
 
 #include <boost/intrusive/list.hpp>
 
@@ -53,6 +54,15 @@
    * and thus calls other services, which is published to the other nodes. */
   void onIngressCall(const std::string &requestId);
 
+  /** What the target is working on. */
+  TargetRuns runs() const { return {gate.inFlight(), repeatsInFlight.size()}; }
+
+  /** Sets what is asked before the target gets a call that another one may have
+   * run; the call is refused if \p check returns false. */
+  void setRepeatCheck(std::function<bool()> check) {
+    mayRepeat = std::move(check);
+  }
+
   /** Limits the calls to the target to \p rateLimit until \p until, because it
    * is cold. */
   void setColdRateLimit(const ColdRateLimit &rateLimit, TimePoint until);
@@ -93,6 +103,9 @@
   bool isStopping = false;
   /** Request IDs of the calls that the target is working on. */
   std::multiset<std::string> idsInFlight;
+  /** The calls that the target is working on and another one may have run. */
+  std::set<CallId> repeatsInFlight;
+  std::function<bool()> mayRepeat;
   /** True once this instance of the target was seen to call other services. */
   bool callsOtherServices = false;
   TimePoint announcedAt;
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -203,6 +203,7 @@
   }
   // Uses up a turn of the traffic split.
   service = task.chooseService(*rule);
+  task.chargeNested(rule->name, service);
   fingerprint = fingerprintOf(*request, service);
   decision =
       std::make_unique<CallDecision>(isIdempotent(*request, *rule), deadline,
@@ -370,8 +371,8 @@
 }
 
 void IngressCall::forward(bool mayQueue) {
-  const bool isRepeat = !decision->tried().empty();
-  if (isRepeat && !isClaimHeld && incoming->hasCallerLeft()) {
+  const bool isFirst = decision->tried().empty();
+  if (!isFirst && !isClaimHeld && incoming->hasCallerLeft()) {
     onCallerDisconnected();
     return;
   }
@@ -383,6 +384,7 @@
     return;
   }
   const Candidate &candidate = picked->candidate;
+  isRepeat = decision->hasReachedTarget();
   decision->onForwarded(candidate.peersAddress);
   mayHedge = mayHedge && !candidate.callsOtherServices;
   if (picked->areAllSaturated)
@@ -421,10 +423,15 @@
   const bool isIsolated =
       task.services.callProtocol.isolatesNonIdempotentCalls &&
       !isIdempotent(*request, *rule);
-  DispatchRequest dispatchRequest{request,     service,
-                                  fingerprint, deadline,
-                                  mayQueue,    isClaimHeld || isIsolated,
-                                  priority(),  maxColdWaitOf(*rule),
+  DispatchRequest dispatchRequest{request,
+                                  service,
+                                  fingerprint,
+                                  deadline,
+                                  mayQueue,
+                                  isRepeat,
+                                  isClaimHeld || isIsolated,
+                                  priority(),
+                                  maxColdWaitOf(*rule),
                                   version};
   const CallPtr self(this);
   auto receiver = [self, hasResult,
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -70,6 +70,8 @@
   bool isClaimHeld = false;
   /** False once a picked target is known to call other services, because a
    * hedge would repeat those calls as well. */
+  /** True if the present attempt is not the first to reach a target. */
+  bool isRepeat = false;
   bool mayHedge = true;
   bool isEnded = false;
   bool isCallerDisconnected = false;
--- a/src/node/IngressTask.cpp
+++ b/src/node/IngressTask.cpp
@@ -14,7 +14,9 @@
                          RolloutTask &rollouts, AnyPickPolicy policy)
     : services(services), peers(peers), configuration(configuration),
       measure(measure), crashes(crashes), gate(gate), quotas(quotas),
-      rollouts(rollouts), policy(policy) {}
+      rollouts(rollouts), policy(policy) {
+  gate.setRepeatCheck([this] { return mayRepeat(); });
+}
 
 void IngressTask::serve(const IncomingCallPtr &incoming,
                         std::function<void()> onDone) {
@@ -66,6 +68,26 @@
   return budget;
 }
 
+void IngressTask::chargeNested(const std::string &rule,
+                               const std::string &service) {
+  if (!services.settings.site)
+    return;
+  const double share = nestedCalls.onCall(rule, service, gate.runs());
+  if (share <= 0)
+    return;
+  services.metrics.add("nested_repeats_total");
+  budgetOf(service).charge(share, NodeServices::now());
+}
+
+bool IngressTask::mayRepeat() {
+  const TimePoint now = NodeServices::now();
+  bool isOwing = false;
+  nestedCalls.forEachService([&](const std::string &service) {
+    isOwing = isOwing || budgetOf(service).isOwing(now);
+  });
+  return !isOwing;
+}
+
 std::string IngressTask::chooseService(const ServiceRule &rule) {
   if (rule.trafficSplit.empty())
     return rule.name;
--- a/src/node/IngressTask.h
+++ b/src/node/IngressTask.h
@@ -11,6 +11,7 @@
 #include "node/PeerTask.h"
 #include "node/QuotaTask.h"
 #include "node/RolloutTask.h"
+#include "process/NestedCalls.h"
 #include "request/LatencyWindow.h"
 #include "request/PickPolicy.h"
 #include "request/RetryBudget.h"
@@ -76,6 +77,15 @@
    * share. */
   RetryBudget &budgetOf(const std::string &service);
 
+  /** Charges the budget of \p service with a call that has come, as far as the
+   * local target made it while it ran a call again. */
+  void chargeNested(const std::string &rule, const std::string &service);
+
+  /** True if the calls of \p rule are made by the local target. */
+  bool isNested(const std::string &rule) const {
+    return nestedCalls.isNested(rule);
+  }
+
   /** The service that receives the next call of a rule: the next one of its
    * traffic split, or the rule's own name if it has none. */
   std::string chooseService(const ServiceRule &rule);
@@ -93,6 +103,11 @@
   AnyPickPolicy policy;
   std::map<std::string, RuleState> states;
   std::map<std::string, RetryBudget> budgets;
+  NestedCalls nestedCalls;
+
+  /** True if the local target may run a call again, with the calls that it
+   * makes. */
+  bool mayRepeat();
 
   /** Probes the load of a random candidate other than the picked one, within
    * the measurement budget. */
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -32,7 +32,8 @@
     RefusalName{Refusal::WrongTarget, "wrong-target"},
     RefusalName{Refusal::ColdRate, "cold-rate"},
     RefusalName{Refusal::Displaced, "displaced"},
-    RefusalName{Refusal::Outdated, "outdated"}};
+    RefusalName{Refusal::Outdated, "outdated"},
+    RefusalName{Refusal::RepeatBudget, "repeat-budget"}};
 
 } // namespace
 
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -43,7 +43,10 @@
   ColdRate,
   Displaced,
   /** The call is run by a version that is known to be too old. */
-  Outdated
+  Outdated,
+  /** The call may have been run before, and the target would make calls that
+   * the budget of repeats has no room for. */
+  RepeatBudget
 };
 
 /** The name of a refusal in answers, events and metrics, such as
--- a/src/request/CallDecision.h
+++ b/src/request/CallDecision.h
@@ -100,6 +100,8 @@
   const std::set<Address> &tried() const { return triedTargets; }
   /** Targets with an attempt in progress. */
   const std::set<Address> &pendingAttempts() const { return pending; }
+  /** True if an attempt has reached a target, or may yet. */
+  bool hasReachedTarget() const { return usedAttempts > 0; }
   /** True if a target may have run the call. */
   bool mayHaveRun() const { return hasFailed || !pending.empty(); }
 
--- a/src/request/HeaderNames.h
+++ b/src/request/HeaderNames.h
@@ -36,6 +36,9 @@
 /** The priority in the gate's queue; 0 is served first. */
 inline constexpr const char *Priority = "Plantainhatch-Node-Priority";
 
+/** "1" if another target may have run the call. */
+inline constexpr const char *Repeat = "Plantainhatch-Node-Repeat";
+
 /** The longest wait in the queue of a cold target, in milliseconds; absent if
  * it is not limited. */
 inline constexpr const char *MaxColdWaitMs = "Plantainhatch-Node-Max-Cold-Wait";
--- a/src/request/RetryBudget.h
+++ b/src/request/RetryBudget.h
@@ -22,20 +22,23 @@
   /** One node's share in a fleet of \p nodes nodes that may add \p ratio
    * attempts per call plus \p extra attempts in total. Each node credits only
    * the calls that it receives from callers, so the shares add up without
-   * coordination. A repeated call repeats the calls that it makes to other
-   * services too; half of the budget is reserved for those. A share below one
+   * coordination. Calls that a repeated run makes are charged to these shares
+   * too. Half of the extra attempts is reserved for nodes that start anew with
+   * a full share, and a fifth of the others for calls of repeated runs that
+   * their node does not recognize. A share below one
    * token would permit nothing; in a fleet of that size some of the nodes, and
    * no more than the budget has tokens, hold a whole one, and the others never
    * repeat. Pure. \param position the node's place among all, at least 0 and
    * below 1; the nodes with the lowest ones hold a token. */
   static RetryShare forNode(double ratio, double extra, std::size_t nodes,
                             double position = 0) {
-    constexpr double Reserved = 0.5;
+    constexpr double PartPerCall = 0.8;
+    constexpr double PartOfExtra = 0.5;
     const auto shares = static_cast<double>(std::max<std::size_t>(nodes, 1));
-    const double share = extra * Reserved / shares;
+    const double share = extra * PartOfExtra / shares;
     if (share >= 1)
-      return {ratio * Reserved, share};
-    return {ratio * Reserved, position < share ? 1.0 : 0.0};
+      return {ratio * PartPerCall, share};
+    return {ratio * PartPerCall, position < share ? 1.0 : 0.0};
   }
 };
 
@@ -63,6 +66,10 @@
   /** Takes the token for one additional attempt. \return false if the budget is
    * exhausted and the attempt must not be made. */
   bool trySpend(TimePoint now) { return tokens.tryTake(1, now); }
+  /** Takes the tokens for \p n attempts that have been made already. */
+  void charge(double n, TimePoint now) { tokens.takeOwing(n, now); }
+  /** True if more attempts were charged than the budget allows. */
+  bool isOwing(TimePoint now) { return tokens.available(now) < 0; }
 
 private:
   double perCall = TokensPerCall;
