Turn away and delay what costs callers least where there is too little room

Cause: a full target's queue was ordered by priority and arrival only. A short call that is due soon waited behind long ones that had time, one team could fill all queues, and calls ran that could not be answered before their deadline.

Change: calls of rules with a target latency are placed by planRoom(): as many as possible in time, ranked by priority and by what their group (rule and team) has had lately, so that none starves; a call that the target makes during a run counts twice. Other rules keep the former order.

--- a/src/node/ForwardedCall.cpp
+++ b/src/node/ForwardedCall.cpp
@@ -17,6 +17,9 @@
  * only ends relays that the ingress has abandoned. */
 constexpr std::chrono::minutes IdleTimeout{60};
 
+/** Keeps the sum with the present time in range. */
+constexpr std::chrono::milliseconds MaxDue{std::chrono::hours(24)};
+
 std::string headerOf(const CallRequest &request, const char *name) {
   return findHeader(request.headers, name).value_or("");
 }
@@ -30,6 +33,15 @@
   return std::chrono::milliseconds(ms);
 }
 
+std::optional<TimePoint> parseDue(const std::string &text) {
+  std::int64_t ms = 0;
+  const char *const end = text.data() + text.size();
+  const auto [it, ec] = std::from_chars(text.data(), end, ms);
+  if (ec != std::errc() || it != end || std::abs(ms) > MaxDue.count())
+    return std::nullopt;
+  return NodeServices::now() + std::chrono::milliseconds(ms);
+}
+
 unsigned parsePriority(const std::string &text) {
   unsigned priority = 0;
   std::from_chars(text.data(), text.data() + text.size(), priority);
@@ -91,6 +103,9 @@
     if (const auto wait =
             parseTimeout(headerOf(original, headers::MaxColdWaitMs)))
       dispatchRequest.maxColdWait = *wait;
+    dispatchRequest.kind = headerOf(original, headers::Kind);
+    dispatchRequest.isNested = headerOf(original, headers::Nested) == "1";
+    dispatchRequest.dueAt = parseDue(headerOf(original, headers::DueMs));
     const boost::intrusive_ptr<ForwardedCall> self(this);
     const GateCallPtr call = gate.dispatch(
         std::move(dispatchRequest),
--- a/src/node/GateCall.cpp
+++ b/src/node/GateCall.cpp
@@ -111,8 +111,9 @@
   }
   state = State::Answered;
   const TimePoint now = NodeServices::now();
-  task.gate.recordAnswer(head.status >= httpStatus::InternalServerError, now);
-  task.gate.onAnswerHead(callId, now);
+  const bool isFailure = head.status >= httpStatus::InternalServerError;
+  task.gate.recordAnswer(isFailure, now);
+  task.gate.onAnswerHead(callId, now, isFailure);
   removeHopByHopHeaders(head.headers);
   deliver(DispatchAnswer{std::move(head), this});
 }
--- a/src/node/GateCall.h
+++ b/src/node/GateCall.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -38,6 +39,12 @@
   std::chrono::milliseconds maxColdWait = std::chrono::milliseconds::max();
   /** The configuration version that the ingress runs the call by. */
   std::uint64_t version = 0;
+  /** Tells the calls of one rule from those of others. */
+  std::string kind;
+  /** Until when callers expect the answer; not set if that is not known. */
+  std::optional<TimePoint> dueAt = std::nullopt;
+  /** Whether a target makes the call during a run. */
+  bool isNested = false;
 };
 
 /** The target has sent the head of its answer. */
@@ -98,6 +105,8 @@
   void cancel() override;
 
   CallId id() const { return callId; }
+  const std::string &requestId() const { return dispatchRequest.request->id; }
+  unsigned priority() const { return dispatchRequest.priority; }
   /** True if another target may have run the call. */
   bool isRepeat() const { return dispatchRequest.isRepeat; }
   /** The configuration version that the call is run by. */
--- a/src/node/GateTask.cpp
+++ b/src/node/GateTask.cpp
@@ -17,6 +17,17 @@
                                                   : Duration(time);
 }
 
+/** The team of one rule: its calls share one part of the room. */
+std::string groupOf(const DispatchRequest &request,
+                    const std::string &teamHeader) {
+  std::string group = request.kind;
+  if (const auto team = teamHeader.empty()
+                            ? std::nullopt
+                            : findHeader(request.request->headers, teamHeader))
+    group.append("/").append(*team);
+  return group;
+}
+
 } // namespace
 
 GateTask::GateTask(NodeServices &services, PeerTask &peers,
@@ -36,13 +47,18 @@
                                GateCall::Receiver receiver) {
   updateClosedReason();
   const TimePoint now = NodeServices::now();
-  const GateRequest gateRequest{nextId++,
-                                request.service,
-                                request.fingerprint,
-                                request.deadline,
-                                request.mayQueue,
-                                request.priority,
-                                toDuration(request.maxColdWait)};
+  const GateRequest gateRequest{
+      nextId++,
+      request.service,
+      request.fingerprint,
+      request.deadline,
+      request.mayQueue,
+      request.priority,
+      toDuration(request.maxColdWait),
+      request.dueAt,
+      request.kind,
+      groupOf(request, services.callProtocol.teamHeader),
+      request.isNested};
   const bool isQuarantined = crashes.isQuarantined(request.fingerprint);
   GateCallPtr call(new GateCall(*this, gateRequest.id, std::move(request),
                                 std::move(receiver)));
@@ -239,13 +255,29 @@
       continue;
     const GateCallPtr call(found);
     call->unlink();
-    if (result.refusal == Refusal::None)
+    if (result.refusal == Refusal::None) {
       call->start();
-    else
-      call->refuse(result.refusal);
+      continue;
+    }
+    recordTurnedAway(*call, result.refusal);
+    call->refuse(result.refusal);
   }
 }
 
+void GateTask::recordTurnedAway(const GateCall &call, Refusal refusal) {
+  services.metrics.add("gate_turned_away_total",
+                       metricLabel("reason", toString(refusal)));
+  services.logDecision(DecisionKind::Attempt,
+                       {{"event", "turned-away"},
+                        {"request", call.requestId()},
+                        {"priority", call.priority()},
+                        {"reason", toString(refusal)},
+                        {"waiting", gate.queued()},
+                        {"inFlight", gate.inFlight()},
+                        {"limit", gate.limitAt(NodeServices::now())},
+                        {"slowdown", gate.slowdown()}});
+}
+
 GateCall *GateTask::findWaiting(CallId id) {
   const auto it = std::ranges::find(waiting, id, &GateCall::id);
   return it == waiting.end() ? nullptr : &*it;
--- a/src/node/GateTask.h
+++ b/src/node/GateTask.h
@@ -129,6 +129,8 @@
   void recordLimitCut();
   /** Starts or refuses calls that have left the gate's queue. */
   void applyQueueResults(const std::vector<QueueResult> &results);
+  /** Logs that a call left the queue without a slot, and counts it. */
+  void recordTurnedAway(const GateCall &call, Refusal refusal);
   GateCall *findWaiting(CallId id);
   /** Marks a call as abandoned; it keeps its slot until finish(). */
   void giveUp(CallId id, GateOutcome outcome);
--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -1,5 +1,6 @@
 #include "node/IngressCall.h"
 
+#include "base/Digest.h"
 #include "node/PrefixedSource.h"
 #include "node/RemoteDispatch.h"
 #include "process/metricLabel.h"
@@ -418,6 +419,11 @@
   return team != nullptr && team->priority ? *team->priority : rule->priority;
 }
 
+std::optional<TimePoint> IngressCall::dueAt() const {
+  return rule->targetLatency ? std::optional(arrivedAt + *rule->targetLatency)
+                             : std::nullopt;
+}
+
 AnswerSourcePtr IngressCall::dispatch(const Candidate &candidate, bool mayQueue,
                                       const std::shared_ptr<bool> &hasResult) {
   const bool isIsolated =
@@ -432,7 +438,10 @@
                                   isClaimHeld || isIsolated,
                                   priority(),
                                   maxColdWaitOf(*rule),
-                                  version};
+                                  version,
+                                  std::to_string(stableHash(rule->name)),
+                                  dueAt(),
+                                  task.isNested(rule->name)};
   const CallPtr self(this);
   auto receiver = [self, hasResult,
                    target = candidate.peersAddress](DispatchResult result) {
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -147,6 +147,8 @@
   void forward(bool mayQueue);
   /** That of the team, or else that of the rule. */
   unsigned priority() const;
+  /** Until when the caller expects the answer, if the rule says so. */
+  std::optional<TimePoint> dueAt() const;
   AnswerSourcePtr dispatch(const Candidate &candidate, bool mayQueue,
                            const std::shared_ptr<bool> &hasResult);
   void onResult(const Address &target, DispatchResult result);
--- a/src/node/RemoteDispatch.cpp
+++ b/src/node/RemoteDispatch.cpp
@@ -42,6 +42,16 @@
                   {headers::Proof,
                    makeForwardProof(services.settings.key,
                                     *dispatchRequest.request, proofFields)}};
+  if (!dispatchRequest.kind.empty())
+    list.emplace_back(headers::Kind, dispatchRequest.kind);
+  if (dispatchRequest.isNested)
+    list.emplace_back(headers::Nested, "1");
+  if (dispatchRequest.dueAt)
+    list.emplace_back(
+        headers::DueMs,
+        std::to_string(std::chrono::floor<std::chrono::milliseconds>(
+                           *dispatchRequest.dueAt - services.now())
+                           .count()));
   if (dispatchRequest.maxColdWait != std::chrono::milliseconds::max())
     list.emplace_back(headers::MaxColdWaitMs,
                       std::to_string(dispatchRequest.maxColdWait.count()));
--- a/src/process/Gate.cpp
+++ b/src/process/Gate.cpp
@@ -111,6 +111,8 @@
     return {Admission::Kind::Refused, noCapacity, std::nullopt};
   if (queue.empty())
     queueEmptyAt = now;
+  if (request.dueAt || isPlanned())
+    return admitByPlan(request, now);
   const auto ahead = std::ranges::count_if(queue, [&](const GateRequest &it) {
     return it.priority <= request.priority;
   });
@@ -166,10 +168,13 @@
   queue.insert(it, request);
 }
 
-void Gate::onAnswerHead(CallId id, TimePoint now) {
+void Gate::onAnswerHead(CallId id, TimePoint now, bool isFailure) {
   const auto it = calls.find(id);
   assert(it != calls.end() && "answer for a call that is not in flight");
-  it->second.latency = now - it->second.startedAt;
+  const Duration latency = now - it->second.startedAt;
+  it->second.latency = latency;
+  if (!isFailure && !it->second.kind.empty())
+    ledger.onAnswered(it->second.kind, latency, slowdownFactor);
 }
 
 void Gate::giveUp(CallId id, GateOutcome outcome, TimePoint now) {
@@ -244,7 +249,7 @@
     return Refusal::NoTarget;
   if (request.service != currentTarget.service)
     return Refusal::WrongService;
-  if (!canMeetDeadline(request, 0, now))
+  if (!canMeetDeadline(request, 0, now) || !canFinish(request, now))
     return Refusal::DeadlineTooClose;
   return Refusal::None;
 }
@@ -274,9 +279,97 @@
          expectedWait(position, now) <= burstWait;
 }
 
+bool Gate::canFinish(const GateRequest &request, TimePoint now) const {
+  return !request.dueAt || now + workOf(request).least < request.deadline;
+}
+
+CallWork Gate::workOf(const GateRequest &request) const {
+  const auto work = ledger.workOf(request.kind);
+  if (!work)
+    return {gateLimit.latency(), Duration{}};
+  const auto atPresent = [this](Duration it) {
+    return std::chrono::duration_cast<Duration>(it *
+                                                std::max(slowdownFactor, 1.0));
+  };
+  return {atPresent(work->mean), atPresent(work->least)};
+}
+
+bool Gate::isPlanned() const {
+  return std::ranges::any_of(
+      queue, [](const GateRequest &it) { return it.dueAt.has_value(); });
+}
+
+RoomPlan Gate::plan(TimePoint now) const {
+  std::vector<WaitingCall> waiting;
+  waiting.reserve(queue.size());
+  for (const GateRequest &it : queue) {
+    const CallWork work = workOf(it);
+    waiting.push_back({it.group, it.priority, it.isNested,
+                       it.dueAt.value_or(it.deadline), it.deadline, work.mean,
+                       work.least, ledger.usedBy(it.group, now)});
+  }
+  Room room{now, std::max(1U, limitAt(now)), {}, {}, limit() * QueuePerSlot};
+  if (inFlight() >= room.slots)
+    room.firstStart = gateLimit.latency() / room.slots;
+  if (isRateLimited(now) && coldRate > 0)
+    room.leastSpacing = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(1 / coldRate));
+  return planRoom(waiting, room);
+}
+
+Admission Gate::admitByPlan(const GateRequest &request, TimePoint now) {
+  const std::size_t own = queue.size();
+  queue.push_back(request);
+  const RoomPlan result = plan(now);
+  const auto refuse = [this](Refusal refusal) {
+    queue.pop_back();
+    return Admission{Admission::Kind::Refused, refusal, std::nullopt};
+  };
+  const auto place = std::ranges::find(result.order, own);
+  if (place == result.order.end()) {
+    const bool isTooLate =
+        std::ranges::find(result.tooLate, own) != result.tooLate.end();
+    if (isTooLate)
+      return refuse(Refusal::DeadlineTooClose);
+    return refuse(isRateLimited(now) ? Refusal::ColdRate : Refusal::Full);
+  }
+  const auto position =
+      static_cast<std::size_t>(place - result.order.begin()) + 1;
+  if (isRateLimited(now) && expectedWait(position, now) > request.maxColdWait)
+    return refuse(Refusal::ColdRate);
+  Admission admission{Admission::Kind::Queued, Refusal::None, std::nullopt};
+  if (!result.noRoom.empty())
+    admission.displaced = queue[result.noRoom.back()].id;
+  arrange(result);
+  if (admission.displaced)
+    cancelQueued(*admission.displaced);
+  return admission;
+}
+
+void Gate::arrange(const RoomPlan &plan) {
+  std::deque<GateRequest> arranged;
+  for (const auto *const places : {&plan.order, &plan.noRoom, &plan.tooLate})
+    for (const std::size_t it : *places)
+      arranged.push_back(std::move(queue[it]));
+  queue = std::move(arranged);
+}
+
+void Gate::applyPlan(TimePoint now, std::vector<QueueResult> &results) {
+  if (!isPlanned())
+    return;
+  const RoomPlan result = plan(now);
+  arrange(result);
+  for (std::size_t n = 0; n < result.tooLate.size(); ++n) {
+    results.push_back({queue.back().id, Refusal::DeadlineTooClose});
+    queue.pop_back();
+  }
+}
+
 void Gate::start(const GateRequest &request, TimePoint now) {
   calls.emplace(request.id, Call{now, request.fingerprint, currentTarget.bootId,
-                                 std::nullopt, false});
+                                 request.kind, std::nullopt, false});
+  if (request.dueAt)
+    ledger.onStarted(request.group, workOf(request).mean, now);
   peak = std::max(peak, inFlight());
   dropOldStarts(now);
   recentStarts.push_back(now);
@@ -284,6 +377,7 @@
 
 std::vector<QueueResult> Gate::drainQueue(TimePoint now) {
   std::vector<QueueResult> results = expire(now);
+  applyPlan(now, results);
   while (!queue.empty() && tryTakeCapacity(now)) {
     const GateRequest request = std::move(queue.front());
     queue.pop_front();
--- a/src/process/Gate.h
+++ b/src/process/Gate.h
@@ -9,6 +9,8 @@
 #include "process/FailureRate.h"
 #include "process/GateLimit.h"
 #include "process/Member.h"
+#include "process/RoomLedger.h"
+#include "process/RoomPlan.h"
 
 #include <cstdint>
 #include <deque>
@@ -72,6 +74,15 @@
   /** Longest expected wait in the queue of a cold target. A longer queue there
    * serves no more calls, and each of them later. */
   Duration maxColdWait = Duration::max();
+  /** Until when callers expect the answer; not set if that is not known. Calls
+   * that wait are put in order by it, see planRoom(). */
+  std::optional<TimePoint> dueAt = std::nullopt;
+  /** Calls of one kind need about the same work. */
+  std::string kind;
+  /** The callers that share one part of the room. */
+  std::string group;
+  /** True if a target makes the call during a run. */
+  bool isNested = false;
 };
 
 /** How a call ended at the target. */
@@ -170,8 +181,9 @@
 
   /** The head of the answer was received, which ends the measurement of the
    * latency: the time for the body also depends on how fast the caller reads.
-   * \pre As for finish(). */
-  void onAnswerHead(CallId id, TimePoint now);
+   * \param isFailure true if the answer tells nothing of the work that such
+   * calls need. \pre As for finish(). */
+  void onAnswerHead(CallId id, TimePoint now, bool isFailure = false);
 
   /** The caller no longer waits for a call that is still being processed. The
    * call keeps its slot until it is finished as Cancelled.
@@ -234,6 +246,7 @@
     /** The instance of the target that received the call. Outcomes of a former
      * instance are not used to adapt the limit. */
     std::string bootId;
+    std::string kind;
     /** Time to the head of the answer; empty until it was received. */
     std::optional<Duration> latency;
     bool isGivenUp = false;
@@ -242,8 +255,10 @@
   Target currentTarget;
   GateLimit gateLimit;
   std::map<CallId, Call> calls;
-  /** Ordered by priority, then by arrival. */
+  /** Ordered by priority, then by arrival; or as planRoom() says, if it is
+   * known of any when it is due. */
   std::deque<GateRequest> queue;
+  RoomLedger ledger;
   Refusal closedReason = Refusal::None;
   unsigned peak = 0;
   bool isRestartSuspected = false;
@@ -270,6 +285,18 @@
   /** True if the queue takes one more call, which would be admitted as number
    * \p position. */
   bool hasQueueRoom(std::size_t position, TimePoint now) const;
+  /** True if the target is expected to answer in time, if it starts at once. */
+  bool canFinish(const GateRequest &request, TimePoint now) const;
+  /** The work of a call at the present speed of the target. */
+  CallWork workOf(const GateRequest &request) const;
+  bool isPlanned() const;
+  RoomPlan plan(TimePoint now) const;
+  /** Adds a call to the queue, or refuses it, by a plan for all that wait. */
+  Admission admitByPlan(const GateRequest &request, TimePoint now);
+  /** Puts the queue in the order of \p plan; what is not in it goes last. */
+  void arrange(const RoomPlan &plan);
+  /** Refuses what can no longer be served, and puts the rest in order. */
+  void applyPlan(TimePoint now, std::vector<QueueResult> &results);
   void start(const GateRequest &request, TimePoint now);
   /** True if one more call may start; takes a token if the rate is limited. */
   bool tryTakeCapacity(TimePoint now);
--- a/src/request/HeaderNames.h
+++ b/src/request/HeaderNames.h
@@ -43,6 +43,14 @@
  * it is not limited. */
 inline constexpr const char *MaxColdWaitMs = "Plantainhatch-Node-Max-Cold-Wait";
 
+/** The time left until callers expect the answer, in milliseconds, negative if
+ * it has passed; absent if that is not known. */
+inline constexpr const char *DueMs = "Plantainhatch-Node-Due-Ms";
+/** "1" if a target makes the call during a run. */
+inline constexpr const char *Nested = "Plantainhatch-Node-Nested";
+/** Tells the calls of one rule from those of others. */
+inline constexpr const char *Kind = "Plantainhatch-Node-Kind";
+
 /** The request id and the time left in milliseconds, between nodes; callers and
  * targets may use other header names for them, see CallProtocol. */
 inline constexpr const char *NodeRequestId = "Plantainhatch-Node-Request-Id";
