--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -1,5 +1,6 @@
 #include "node/IngressCall.h"
 
+#include "base/Digest.h"
 #include "node/PrefixedSource.h"
 #include "node/RemoteDispatch.h"
 #include "process/metricLabel.h"
@@ -203,6 +204,7 @@
   }
   // Uses up a turn of the traffic split.
   service = task.chooseService(*rule);
+  task.chargeNested(rule->name, service);
   fingerprint = fingerprintOf(*request, service);
   decision =
       std::make_unique<CallDecision>(isIdempotent(*request, *rule), deadline,
@@ -370,8 +372,8 @@
 }
 
 void IngressCall::forward(bool mayQueue) {
-  const bool isRepeat = !decision->tried().empty();
-  if (isRepeat && !isClaimHeld && incoming->hasCallerLeft()) {
+  const bool isFirst = decision->tried().empty();
+  if (!isFirst && !isClaimHeld && incoming->hasCallerLeft()) {
     onCallerDisconnected();
     return;
   }
@@ -383,6 +385,7 @@
     return;
   }
   const Candidate &candidate = picked->candidate;
+  isRepeat = decision->hasReachedTarget();
   decision->onForwarded(candidate.peersAddress);
   mayHedge = mayHedge && !candidate.callsOtherServices;
   if (picked->areAllSaturated)
@@ -416,16 +419,29 @@
   return team != nullptr && team->priority ? *team->priority : rule->priority;
 }
 
+std::optional<TimePoint> IngressCall::dueAt() const {
+  return rule->targetLatency ? std::optional(arrivedAt + *rule->targetLatency)
+                             : std::nullopt;
+}
+
 AnswerSourcePtr IngressCall::dispatch(const Candidate &candidate, bool mayQueue,
                                       const std::shared_ptr<bool> &hasResult) {
   const bool isIsolated =
       task.services.callProtocol.isolatesNonIdempotentCalls &&
       !isIdempotent(*request, *rule);
-  DispatchRequest dispatchRequest{request,     service,
-                                  fingerprint, deadline,
-                                  mayQueue,    isClaimHeld || isIsolated,
-                                  priority(),  maxColdWaitOf(*rule),
-                                  version};
+  DispatchRequest dispatchRequest{request,
+                                  service,
+                                  fingerprint,
+                                  deadline,
+                                  mayQueue,
+                                  isRepeat,
+                                  isClaimHeld || isIsolated,
+                                  priority(),
+                                  maxColdWaitOf(*rule),
+                                  version,
+                                  std::to_string(stableHash(rule->name)),
+                                  dueAt(),
+                                  task.isNested(rule->name)};
   const CallPtr self(this);
   auto receiver = [self, hasResult,
                    target = candidate.peersAddress](DispatchResult result) {
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -70,6 +70,8 @@
   bool isClaimHeld = false;
   /** False once a picked target is known to call other services, because a
    * hedge would repeat those calls as well. */
+  /** True if the present attempt is not the first to reach a target. */
+  bool isRepeat = false;
   bool mayHedge = true;
   bool isEnded = false;
   bool isCallerDisconnected = false;
@@ -145,6 +147,8 @@
   void forward(bool mayQueue);
   /** That of the team, or else that of the rule. */
   unsigned priority() const;
+  /** Until when the caller expects the answer, if the rule says so. */
+  std::optional<TimePoint> dueAt() const;
   AnswerSourcePtr dispatch(const Candidate &candidate, bool mayQueue,
                            const std::shared_ptr<bool> &hasResult);
   void onResult(const Address &target, DispatchResult result);
