Let a node that starts anew learn at once how far roll-outs are

Cause: a node that starts knows no phase until its first report is answered, 0.1 s and more after the order came with the configuration. While it is Unknown, a service that has only the ordered version is refused. The next deciding node kept silent unless the roll-out was over, so that a restarted decider had to wait for the store. A version whose completion this node had missed was blocked for the next order, though the service runs with nothing else; one that was completed, and ordered again after another order was rolled back, got no calls until the store had the new row; and repeats found no target while a service has only the ordered version.

Change: the first question is sent with the order, and further ones after 50, 100, 200 ms and so on while nothing is known. Both deciding nodes answer those who know nothing; what the second says gives no lease. A service whose only version was completed last is served by it. Blocked versions stay in use while there is no other one, and repeats go by what the first try found. The interval of ticks is 50 ms.

--- a/src/node/RolloutTask.cpp
+++ b/src/node/RolloutTask.cpp
@@ -99,24 +99,35 @@
   } else {
     return;
   }
-  logPhase(entries.at(rule.service), "the configuration");
+  Entry &entry = entries.at(rule.service);
+  logPhase(entry, "the configuration");
+  // Until it knows more, this node may have no target for calls. Without the
+  // others it would take itself for the one that decides.
+  if (!peers.membership().others().empty())
+    step(entry);
 }
 
 void RolloutTask::tick() {
   const ScopedControlCpuTimer scope(services.metrics);
+  for (Entry &entry : entries | std::views::values)
+    step(entry);
+}
+
+void RolloutTask::step(Entry &entry) {
   const TimePoint now = NodeServices::now();
-  for (Entry &entry : entries | std::views::values) {
-    if (now - entry.reportedAt >= ReportInterval) {
-      entry.reportedAt = now;
-      entry.deciders =
-          findHighest(peers.membership(),
-                      "rollout/" + entry.rollout.rule().service, DeciderCount);
-      report(entry);
-      entry.verdict.judge();
-    }
-    if (isDecider(entry))
-      decide(entry);
+  const bool isDue = now - entry.reportedAt >= ReportInterval;
+  if (entry.rollout.takeQuestion(now) || isDue) {
+    entry.deciders =
+        findHighest(peers.membership(),
+                    "rollout/" + entry.rollout.rule().service, DeciderCount);
+    report(entry);
   }
+  if (isDue) {
+    entry.reportedAt = now;
+    entry.verdict.judge();
+  }
+  if (isDecider(entry))
+    decide(entry);
 }
 
 bool RolloutTask::isDecider(const Entry &entry) const {
@@ -190,11 +201,14 @@
 
 void RolloutTask::enter(Entry &entry, RolloutPhase phase, Duration age,
                         std::string_view from) {
-  const TimePoint now = NodeServices::now();
-  if (!entry.rollout.onNews(phase, age, now))
-    return;
+  if (entry.rollout.onNews(phase, age, NodeServices::now()))
+    onEntered(entry, from);
+}
+
+void RolloutTask::onEntered(Entry &entry, std::string_view from) {
+  const RolloutPhase phase = entry.rollout.phase();
   if (phase == RolloutPhase::Moving)
-    entry.movingSince = now;
+    entry.movingSince = NodeServices::now();
   entry.repeats = DecisionRepeats;
   services.metrics.add("rollout_phases_total",
                        "phase=\"" + std::string(nameOf(phase)) + "\"");
@@ -270,7 +284,8 @@
     enter(*entry, report.phase, Milliseconds(report.ageMs), "a report");
   const RolloutPhase phase = entry->rollout.phase();
   const bool isNews = report.phase < phase;
-  if (isNews && (mayDecide || entry->rollout.isOver()))
+  if (isNews && (mayDecide || entry->rollout.isOver() ||
+                 report.phase == RolloutPhase::Unknown))
     peers.sendWithoutUpdates(header.sender, makeNews(*entry));
 }
 
@@ -278,7 +293,15 @@
   Entry *const entry = findOrder(news.service, news.order);
   if (entry == nullptr)
     return;
-  enter(*entry, news.phase, Milliseconds(news.ageMs), header.sender.toString());
+  const Milliseconds age(news.ageMs);
+  const std::string sender = header.sender.toString();
+  // The next one to decide answers those who know nothing.
+  const bool isHearsay =
+      entry->deciders.size() > 1 && entry->deciders[1] == header.sender;
+  if (!isHearsay)
+    enter(*entry, news.phase, age, sender);
+  else if (entry->rollout.onHearsay(news.phase, age, NodeServices::now()))
+    onEntered(*entry, sender);
   if (entry->rollout.isOver() && news.phase < entry->rollout.phase())
     peers.sendWithoutUpdates(header.sender, makeNews(*entry));
 }
--- a/src/node/RolloutTask.h
+++ b/src/node/RolloutTask.h
@@ -23,7 +23,7 @@
  * only. */
 class RolloutTask {
 public:
-  static constexpr std::chrono::milliseconds TickInterval{100};
+  static constexpr std::chrono::milliseconds TickInterval{50};
   /** Interval of reports, and of looking up who decides. */
   static constexpr std::chrono::milliseconds ReportInterval{500};
   /** Interval at which the deciding node says that a roll-out goes on. */
@@ -83,6 +83,7 @@
 
   void order(const RolloutRule &rule, const RolloutSettings &settings);
   void tick();
+  void step(Entry &entry);
   void report(Entry &entry);
   bool isDecider(const Entry &entry) const;
   void decide(Entry &entry);
@@ -93,6 +94,8 @@
   bool hasOrderedTarget(const Rollout &rollout) const;
   void enter(Entry &entry, RolloutPhase phase, Duration age,
              std::string_view from);
+  /** Follows a change of the phase. */
+  void onEntered(Entry &entry, std::string_view from);
   void logPhase(const Entry &entry, std::string_view from);
   RolloutNews makeNews(const Entry &entry) const;
   void announce(Entry &entry);
--- a/src/process/Rollout.cpp
+++ b/src/process/Rollout.cpp
@@ -10,7 +10,7 @@
 Rollout::Rollout(RolloutRule rule, Limits limits, std::uint64_t seed,
                  TimePoint now)
     : current(std::move(rule)), limits(limits), orderedAt(now), heardAt(now),
-      random(seed) {
+      askAt(now), random(seed) {
   assert(limits.trialShare >= 0 && limits.trialShare <= 1 &&
          "a share of the calls");
 }
@@ -34,18 +34,29 @@
   currentPhase = RolloutPhase::Unknown;
   orderedAt = now;
   heardAt = now;
+  leaseUntil = {};
+  askAt = now;
+  pause = FirstPause;
   trials = 0;
   answers.clear();
   former.clear();
 }
 
 bool Rollout::onNews(RolloutPhase newPhase, Duration age, TimePoint now) {
+  if (newPhase != RolloutPhase::Unknown && newPhase >= currentPhase)
+    leaseUntil = now + limits.lease;
+  return onHearsay(newPhase, age, now);
+}
+
+bool Rollout::onHearsay(RolloutPhase newPhase, Duration age, TimePoint now) {
   orderedAt = std::min(orderedAt, now - age);
   if (newPhase == RolloutPhase::Unknown || newPhase < currentPhase)
     return false;
   heardAt = now;
   const bool isNew = std::exchange(currentPhase, newPhase) != newPhase;
   endedAt = isNew ? now : endedAt;
+  if (newPhase == RolloutPhase::Completed)
+    proved = current.softwareVersion;
   return isNew;
 }
 
@@ -61,6 +72,14 @@
     trials = std::min(trials + 1, MaxTrials);
 }
 
+bool Rollout::takeQuestion(TimePoint now) {
+  if (currentPhase != RolloutPhase::Unknown || now < askAt)
+    return false;
+  askAt = now + pause;
+  pause *= 2;
+  return true;
+}
+
 bool Rollout::takeTrial(TimePoint now) {
   const bool isAllowed =
       currentPhase == RolloutPhase::Running && hasLease(now) && trials > 0;
--- a/src/process/Rollout.h
+++ b/src/process/Rollout.h
@@ -8,6 +8,7 @@
 #include "version/Rule.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -37,6 +38,9 @@
   /** After this long without news, a service that has no targets but those of
    * the ordered version is served by these. */
   static constexpr std::chrono::milliseconds MaxSilence{3'000};
+  /** Pause after the first question how far the roll-out is. Each later one is
+   * twice as long. */
+  static constexpr std::chrono::milliseconds FirstPause{50};
   /** How long after the end former targets are still about to stop. */
   static constexpr std::chrono::seconds FormerTime{10};
 
@@ -53,17 +57,36 @@
    * \return true if the phase has changed. */
   bool onNews(RolloutPhase newPhase, Duration age, TimePoint now);
 
+  /** The same for what a node says that does not decide, and may have heard
+   * long ago: no trials are allowed by it. */
+  bool onHearsay(RolloutPhase newPhase, Duration age, TimePoint now);
+
   /** Counts an answer. That of a former version may allow a trial. */
   void onAnswer(const std::string &rule, bool isOrdered, bool isBad);
 
   /** Uses up a trial. \return false if none may be made now. */
   bool takeTrial(TimePoint now);
 
+  /** True if the deciding nodes should be asked now how far the roll-out is,
+   * since nothing is known: at once, and then after growing pauses. */
+  bool takeQuestion(TimePoint now);
+
   /** Remembers that this version served before the roll-out is completed. */
   void noteFormer(const std::string &softwareVersion) {
     former.insert(softwareVersion);
   }
 
+  /** Remembers what a call found at its first try, as later tries do not see
+   * all targets. \param unblocked true for targets of other versions than the
+   * ordered one and those that isBlocked() names. \param others true for
+   * targets of any other version. */
+  void noteTargets(bool unblocked, bool others) {
+    hasUnblocked = unblocked;
+    hasOthers = others;
+  }
+  bool hasUnblockedTargets() const { return hasUnblocked; }
+  bool hasOtherTargets() const { return hasOthers; }
+
   const RolloutRule &rule() const { return current; }
   RolloutPhase phase() const { return currentPhase; }
   /** True if nothing more will be decided about the order. */
@@ -79,13 +102,16 @@
   bool isRolledBack(const std::string &softwareVersion) const {
     return rolledBack.contains(softwareVersion);
   }
+  /** True if the ordered version was the last one that an order was completed
+   * with, so that the service may run with nothing else. */
+  bool isProved() const { return proved == current.softwareVersion; }
   /** True if it ended long ago. Targets of former versions that appear since
    * are no rest of the roll-out, but replace others. */
   bool isLongOver(TimePoint now) const {
     return isOver() && now - endedAt >= FormerTime;
   }
   /** True if what was heard lately allows calls to the ordered version. */
-  bool hasLease(TimePoint now) const { return now - heardAt <= limits.lease; }
+  bool hasLease(TimePoint now) const { return now <= leaseUntil; }
   double trialShare() const { return limits.trialShare; }
   /** True if there was no news for MaxSilence. */
   bool isSilent(TimePoint now) const { return now - heardAt >= MaxSilence; }
@@ -101,7 +127,12 @@
   TimePoint orderedAt;
   /** When the latest news came, or the order if there was none. */
   TimePoint heardAt;
+  TimePoint leaseUntil;
   TimePoint endedAt;
+  TimePoint askAt;
+  Duration pause = FirstPause;
+  bool hasUnblocked = true;
+  bool hasOthers = true;
   unsigned trials = 0;
   std::mt19937_64 random;
   /** By rule, and whether the answers are of the ordered version. */
@@ -109,6 +140,7 @@
   std::set<std::string> former;
   std::set<std::string> blocked;
   std::set<std::string> rolledBack;
+  std::optional<std::string> proved;
 };
 
 } // namespace plantainhatch
--- a/src/request/narrowToRollout.cpp
+++ b/src/request/narrowToRollout.cpp
@@ -49,8 +49,7 @@
 
 void narrowWhileRunning(std::vector<Candidate> &candidates, Rollout &rollout,
                         bool isRepeat, TimePoint now) {
-  // The service has no other target.
-  if (!isRepeat && std::ranges::none_of(candidates, isOther))
+  if (!rollout.hasOtherTargets())
     return;
   const bool isTrial = !isRepeat &&
                        std::ranges::any_of(candidates, mayTryOut) &&
@@ -93,15 +92,23 @@
   const auto isBlocked = [&](const Candidate &it) {
     return rollout.isBlocked(it.softwareVersion);
   };
-  // One whose end is not known here may be what the service runs with.
-  const bool isAllBlocked = std::ranges::all_of(candidates, isBlocked);
   std::erase_if(candidates, [&](const Candidate &it) {
-    return rollout.isRolledBack(it.softwareVersion) ||
-           (!isAllBlocked && isBlocked(it));
+    return rollout.isRolledBack(it.softwareVersion);
   });
+  if (!isRepeat)
+    rollout.noteTargets(std::ranges::any_of(candidates,
+                                            [&](const Candidate &it) {
+                                              return isOther(it) &&
+                                                     !isBlocked(it);
+                                            }),
+                        std::ranges::any_of(candidates, isOther));
+  // One whose end is not known here may be what the service runs with.
+  if (rollout.hasUnblockedTargets())
+    std::erase_if(candidates, isBlocked);
   switch (rollout.phase()) {
   case RolloutPhase::Unknown:
-    if (!rollout.isSilent(now) || std::ranges::any_of(candidates, isOther))
+    if (rollout.hasOtherTargets() ||
+        (!rollout.isProved() && !rollout.isSilent(now)))
       keep(candidates, isOther);
     break;
   case RolloutPhase::Running:
--- a/test/correctness/RolloutTest.cpp
+++ b/test/correctness/RolloutTest.cpp
@@ -76,6 +76,15 @@
   LONGS_EQUAL(0, countTrials(1'000, makeFleet(30, 4)));
 }
 
+// Guards against trials by what a node says that may have heard it long ago.
+TEST(Rollout, HearsayShowsThePhaseButAllowsNoTrials) {
+  CHECK(rollout.onHearsay(RolloutPhase::Running, 0s, now));
+  LONGS_EQUAL(0, countTrials(1'000, makeFleet(30, 4)));
+  auto candidates = makeFleet(0, 2);
+  narrowToRollout(candidates, rollout, false, now);
+  LONGS_EQUAL(2, candidates.size());
+}
+
 // Guards against a share that grows with the number of nodes, with restarts, or
 // with calls that no target has answered.
 TEST(Rollout, ExposureStaysInBoundsAtAnySizeOfFleetAndWithRestarts) {
@@ -182,6 +191,57 @@
   LONGS_EQUAL(2, candidates.size());
 }
 
+// Guards against an outage if the service runs with the version of an order
+// that this node has not seen completed, or is moved back to that version.
+TEST(Rollout, VersionThatTheServiceRunsWithServesWhileTheNextOrderIsUnknown) {
+  rollout.order({"shop", "v3", 14s, 9}, now);
+  auto candidates = makeFleet(0, 3);
+  candidates.push_back(candidateOf(9, "v3"));
+  narrowToRollout(candidates, rollout, false, now);
+  LONGS_EQUAL(3, candidates.size());
+  CHECK(candidates.front().softwareVersion == "v2");
+
+  rollout.onNews(RolloutPhase::Completed, 0s, now);
+  rollout.order({"shop", "v4", 14s, 10}, now);
+  rollout.onNews(RolloutPhase::RolledBack, 0s, now);
+  rollout.order({"shop", "v3", 14s, 11}, now);
+  candidates = {candidateOf(9, "v3"), candidateOf(8, "v4")};
+  narrowToRollout(candidates, rollout, false, now);
+  LONGS_EQUAL(1, candidates.size());
+  CHECK(candidates.front().softwareVersion == "v3");
+}
+
+// Guards against repeats that find no target since the service has no other
+// version, and against repeats at the ordered one since the others were tried.
+TEST(Rollout, RepeatsKnowWhetherTheServiceHasOtherVersions) {
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  for (const std::uint16_t others : {0, 1}) {
+    auto candidates = makeFleet(others, 2);
+    narrowToRollout(candidates, rollout, false, now);
+    candidates = makeFleet(0, 1);
+    narrowToRollout(candidates, rollout, true, now);
+    LONGS_EQUAL(others == 0 ? 1 : 0, candidates.size());
+  }
+}
+
+// Guards against a restarted node that asks late how far the roll-out is, and
+// against nodes that ask without end while nobody knows.
+TEST(Rollout, QuestionsComeAtOnceAndThenLessOften) {
+  const auto countQuestions = [&](std::chrono::milliseconds time) {
+    unsigned questions = 0;
+    for (const TimePoint end = now + time; now < end; now += 10ms)
+      questions += rollout.takeQuestion(now) ? 1 : 0;
+    return questions;
+  };
+  CHECK(rollout.takeQuestion(now));
+  LONGS_EQUAL(3, countQuestions(500ms));
+  CHECK(countQuestions(10s) < 6);
+  rollout.order({"shop", "v3", 14s, 9}, now);
+  CHECK(rollout.takeQuestion(now));
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  LONGS_EQUAL(0, countQuestions(10s));
+}
+
 TEST_GROUP(RolloutVerdict) {
   static constexpr unsigned Nodes = 20;
   static constexpr std::array<const char *, 3> Rules{"a", "b", "c"};
--- a/test/platform/RolloutsTest.cpp
+++ b/test/platform/RolloutsTest.cpp
@@ -60,6 +60,17 @@
     return Fleet::waitUntil(isReached, Limit);
   }
 
+  /** Of \p count calls through a machine, how many were answered. */
+  unsigned runsAt(std::size_t machine, unsigned count) {
+    unsigned good = 0;
+    for (unsigned n = 0; n < count; ++n) {
+      const std::string id = "r-" + std::to_string(++calls);
+      const auto answer = site.call(machine, "GET", "/v1/x", id);
+      good += answer.status == 200 ? 1 : 0;
+    }
+    return good;
+  }
+
   unsigned runsOfNew() const { return site.machines[New]->target->runCount(); }
 };
 
@@ -100,6 +111,22 @@
   LONGS_EQUAL(before + 40, runsOfNew());
 }
 
+// Guards against refused calls at a node that starts anew when the service has
+// only the version that it was moved to.
+TEST(Rollouts, RestartedNodeServesWithTheCompletedVersionAtOnce) {
+  start();
+  order("v2", 4);
+  CHECK(callUntil("running"));
+  startNewVersion(SiteTarget::Manner::Answer);
+  CHECK(callUntil("completed"));
+  for (std::size_t n = 0; n < New; ++n)
+    LONGS_EQUAL(200, site.beat(n, "draining"));
+  site.machines[0]->node.reset();
+  site.startNode(0);
+  CHECK(Fleet::waitUntil([&] { return site.isReady(0); }));
+  LONGS_EQUAL(20, runsAt(0, 20));
+}
+
 // Guards against a decision that is forgotten because the store is away when it
 // is made.
 TEST(Rollouts, RollBackIsWrittenOnceTheStoreIsBack) {
