Complete roll-outs only if the ordered version can take the calls

Cause: one target of the ordered version was enough for the completion, after which the platform ends all others: a service of 30 targets was moved to one. After the completion its former targets got no calls even while the others were full.

Change: the row is written once the slots of the ordered targets are at least as many as the calls in flight or queued at all targets of the service, as the deciding node knows them by load reports. Until then calls move as far as there is room. After the completion, former targets that have not ended serve what the others have no slot for.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -62,8 +62,9 @@
   measure = std::make_unique<MeasureTask>(services, *peers,
                                           [this] { return gate->load(); });
   quotas = std::make_unique<QuotaTask>(services, *peers, *configuration);
-  rollouts = std::make_unique<RolloutTask>(services, *peers, *configuration,
-                                           std::move(bindings.rolloutStatus));
+  rollouts =
+      std::make_unique<RolloutTask>(services, *peers, *configuration, *measure,
+                                    std::move(bindings.rolloutStatus));
   ingress = std::make_unique<IngressTask>(services, *peers, *configuration,
                                           *measure, *crashes, *gate, *quotas,
                                           *rollouts, policy);
--- a/src/node/RolloutTask.cpp
+++ b/src/node/RolloutTask.cpp
@@ -51,10 +51,10 @@
 } // namespace
 
 RolloutTask::RolloutTask(NodeServices &services, PeerTask &peers,
-                         ConfigurationTask &configuration,
+                         ConfigurationTask &configuration, MeasureTask &measure,
                          std::optional<RolloutStatusFormat> format)
     : services(services), peers(peers), configuration(configuration),
-      format(std::move(format)) {}
+      measure(measure), format(std::move(format)) {}
 
 Rollout *RolloutTask::find(const std::string &service) {
   const auto entry = entries.find(service);
@@ -151,14 +151,15 @@
   peers.sendToAll(receivers, report);
 }
 
-RolloutPhase RolloutTask::wantedRow(const Entry &entry) {
+RolloutPhase RolloutTask::wantedRow(const Entry &entry) const {
   const Rollout &rollout = entry.rollout;
   if (rollout.isOver())
     return rollout.phase();
   const TimePoint now = NodeServices::now();
   const bool hasMoved = rollout.phase() == RolloutPhase::Moving &&
                         now - entry.movingSince >= MinMoveTime &&
-                        rollout.age(now) >= writeTimeOf(rollout.rule());
+                        rollout.age(now) >= writeTimeOf(rollout.rule()) &&
+                        room(rollout).isEnough();
   return hasMoved ? RolloutPhase::Completed : RolloutPhase::Running;
 }
 
@@ -184,19 +185,13 @@
   if (entry.verdict.fault())
     enter(entry, RolloutPhase::RolledBack, age, "the answers");
   else if (rollout.phase() == RolloutPhase::Running &&
-           age >= moveTimeOf(rollout.rule()) && hasOrderedTarget(rollout))
+           age >= moveTimeOf(rollout.rule()) && room(rollout).slots > 0)
     enter(entry, RolloutPhase::Moving, age, "the deadline");
 }
 
-bool RolloutTask::hasOrderedTarget(const Rollout &rollout) const {
-  const auto isOrdered = [&](const Member &member) {
-    return member.isCandidate() &&
-           member.target.service == rollout.rule().service &&
-           member.target.softwareVersion == rollout.rule().softwareVersion;
-  };
-  return isOrdered(peers.membership().self()) ||
-         std::ranges::any_of(peers.membership().others() | std::views::values,
-                             isOrdered);
+RolloutRoom RolloutTask::room(const Rollout &rollout) const {
+  return measureRolloutRoom(rollout.rule(), peers.membership(),
+                            measure.loadTable(), NodeServices::now());
 }
 
 void RolloutTask::enter(Entry &entry, RolloutPhase phase, Duration age,
--- a/src/node/RolloutTask.h
+++ b/src/node/RolloutTask.h
@@ -5,10 +5,12 @@
 #define PLANTAINHATCH_NODE_ROLLOUTTASK_H
 
 #include "node/ConfigurationTask.h"
+#include "node/MeasureTask.h"
 #include "node/PeerTask.h"
 #include "node/RolloutRow.h"
 #include "process/Rollout.h"
 #include "process/RolloutVerdict.h"
+#include "request/measureRolloutRoom.h"
 
 #include <map>
 #include <optional>
@@ -48,7 +50,7 @@
   /** \param format nothing if there are no roll-outs. The other arguments must
    * outlive this task. */
   RolloutTask(NodeServices &services, PeerTask &peers,
-              ConfigurationTask &configuration,
+              ConfigurationTask &configuration, MeasureTask &measure,
               std::optional<RolloutStatusFormat> format);
 
   /** The orders for \p service; nullptr if there was none. Valid until the next
@@ -77,6 +79,7 @@
   NodeServices &services;
   PeerTask &peers;
   ConfigurationTask &configuration;
+  MeasureTask &measure;
   const std::optional<RolloutStatusFormat> format;
   std::map<std::string, Entry> entries;
   Timer timer;
@@ -90,8 +93,8 @@
   /** Judges the version, and moves the calls in time. */
   void advance(Entry &entry);
   /** What the row should say. */
-  static RolloutPhase wantedRow(const Entry &entry);
-  bool hasOrderedTarget(const Rollout &rollout) const;
+  RolloutPhase wantedRow(const Entry &entry) const;
+  RolloutRoom room(const Rollout &rollout) const;
   void enter(Entry &entry, RolloutPhase phase, Duration age,
              std::string_view from);
   /** Follows a change of the phase. */
--- a/src/request/narrowToRollout.cpp
+++ b/src/request/narrowToRollout.cpp
@@ -75,6 +75,21 @@
     keep(candidates, isFree);
 }
 
+/** Former targets that have not ended serve what the others cannot take. */
+void narrowWhileEnding(std::vector<Candidate> &candidates,
+                       const Rollout &rollout) {
+  const auto isFormer = [&](const Candidate &it) {
+    return rollout.isFormer(it.softwareVersion);
+  };
+  const auto isFull = [](const Candidate &it) {
+    return it.load.limit > 0 && it.utilization() >= 1;
+  };
+  if (std::ranges::any_of(candidates, [&](const Candidate &it) {
+        return !isFormer(it) && !isFull(it);
+      }))
+    std::erase_if(candidates, isFormer);
+}
+
 } // namespace
 
 void narrowToRollout(std::vector<Candidate> &candidates, Rollout &rollout,
@@ -86,9 +101,6 @@
         rollout.phase() != RolloutPhase::RolledBack)
       rollout.noteFormer(it.softwareVersion);
   }
-  const auto isFormer = [&](const Candidate &it) {
-    return rollout.isFormer(it.softwareVersion);
-  };
   const auto isBlocked = [&](const Candidate &it) {
     return rollout.isBlocked(it.softwareVersion);
   };
@@ -121,8 +133,8 @@
     keep(candidates, isOther);
     break;
   case RolloutPhase::Completed:
-    if (!rollout.isLongOver(now) && !std::ranges::all_of(candidates, isFormer))
-      std::erase_if(candidates, isFormer);
+    if (!rollout.isLongOver(now))
+      narrowWhileEnding(candidates, rollout);
     break;
   }
 }
--- a/test/correctness/RolloutTest.cpp
+++ b/test/correctness/RolloutTest.cpp
@@ -2,6 +2,7 @@
  * Decisions about roll-outs, without a network. */
 #include "process/Rollout.h"
 #include "process/RolloutVerdict.h"
+#include "request/measureRolloutRoom.h"
 #include "request/narrowToRollout.h"
 
 #include <array>
@@ -224,6 +225,57 @@
   }
 }
 
+// Guards against a service whose calls all go to the one target of the ordered
+// version, which cannot take them.
+TEST(Rollout, FormerTargetsServeWhatDoesNotFitUntilTheyEnd) {
+  auto fleet = makeFleet(30, 1);
+  for (const RolloutPhase phase :
+       {RolloutPhase::Moving, RolloutPhase::Completed}) {
+    rollout.onNews(phase, 0s, now);
+    for (const double calls : {9.0, 10.0}) {
+      fleet.back().load.inFlight = calls;
+      auto candidates = fleet;
+      narrowToRollout(candidates, rollout, false, now);
+      LONGS_EQUAL(calls < 10 ? 1 : 31, candidates.size());
+    }
+  }
+}
+
+// Guards against an order that is completed although the ordered version has
+// too few targets: the platform then ends all others.
+TEST(Rollout, RoomIsThatOfOrderedTargetsForAllCalls) {
+  std::vector<Member> records;
+  LoadTable loads;
+  for (std::uint16_t n = 1; n <= 34; ++n) {
+    Member member;
+    member.peersAddress = {"10.0.0.1", n};
+    member.target.service = Order.service;
+    member.target.softwareVersion = n <= 30 ? "v1" : "v2";
+    member.target.slots = 20;
+    member.target.coldSlots = 5;
+    member.target.state = n <= 31 ? TargetState::Warm : TargetState::Cold;
+    records.push_back(member);
+    // Not all are heard of.
+    if (n <= 10)
+      loads.onReport(member.peersAddress, {0, 1, 20}, now);
+  }
+  Member self;
+  self.peersAddress = {"10.0.0.2", 1};
+  const auto measure = [&](std::size_t last) {
+    Membership membership(self, 1);
+    membership.merge({records.begin(), records.begin() + last}, false, now);
+    return measureRolloutRoom(Order, membership, loads, now);
+  };
+  CHECK(!measure(30).isEnough());
+  LONGS_EQUAL(20, measure(31).slots);
+  DOUBLES_EQUAL(30, measure(31).calls, 0.1);
+  CHECK(!measure(31).isEnough());
+  LONGS_EQUAL(30, measure(33).slots);
+  CHECK(measure(33).isEnough());
+  loads.onReport(records[30].peersAddress, {0, 8, 20}, now);
+  CHECK(!measure(33).isEnough());
+}
+
 // Guards against a restarted node that asks late how far the roll-out is, and
 // against nodes that ask without end while nobody knows.
 TEST(Rollout, QuestionsComeAtOnceAndThenLessOften) {
