Count each attempt at most once for the roll-out

Cause: an answer counted as good when its head came, and once more as bad when its body broke off. A cold target's call that was cancelled late counted as good, though it shows nothing. A body that stalled did not count at all.

Change: an attempt counts once: as failed, as answered at the end of a buffered body, or as cancelled, which counts only against a version whose target was not cold.

--- a/src/node/IngressCall.cpp
+++ b/src/node/IngressCall.cpp
@@ -457,8 +457,8 @@
     return;
   }
   const auto &failed = std::get<DispatchFailure>(result);
-  const Attempt attempt = endAttempt(target, true);
-  recordForRollout(attempt, true);
+  Attempt attempt = endAttempt(target, true);
+  recordForRollout(attempt, AttemptEnd::Failed);
   logFailedAttempt(target, attempt.loadAtPick, failed.reason);
   task.services.events.count(EventKind::CallsFailed, service,
                              "at " + target.toString() + ": " + failed.reason);
@@ -499,21 +499,26 @@
   return true;
 }
 
-void IngressCall::recordForRollout(const Attempt &attempt, bool isFailed) {
+void IngressCall::recordForRollout(Attempt &attempt, AttemptEnd end) {
   Rollout *const rollout = task.rollouts.find(service);
-  if (rollout == nullptr || rollout->rule().order != attempt.rolloutOrder)
+  if (rollout == nullptr || rollout->rule().order != attempt.rolloutOrder ||
+      std::exchange(attempt.isCounted, true))
     return;
   // Cold targets are slow, whatever their version.
   const bool mayBeLate = attempt.isOrdered && attempt.loadAtPick.isCold;
   const bool isLate =
-      rule->targetLatency && !mayBeLate &&
+      rule->targetLatency &&
       NodeServices::now() - attempt.startedAt > *rule->targetLatency;
-  rollout->onAnswer(rule->name, attempt.isOrdered, isFailed || isLate);
+  if (const auto isBad = judgeAttempt(end, isLate, mayBeLate))
+    rollout->onAnswer(rule->name, attempt.isOrdered, *isBad);
 }
 
 void IngressCall::onAnswer(const Address &target, DispatchAnswer answer) {
-  recordForRollout(attempts.at(target),
-                   answer.head.status >= httpStatus::InternalServerError);
+  // Of a buffered answer, the whole body counts.
+  if (answer.head.status >= httpStatus::InternalServerError)
+    recordForRollout(attempts.at(target), AttemptEnd::Failed);
+  else if (!shouldBufferAnswers())
+    recordForRollout(attempts.at(target), AttemptEnd::Answered);
   if (retryOnServerError(target, answer))
     return;
   decision->onAnswer(target);
@@ -524,7 +529,6 @@
   auto answering = attempts.extract(target);
   cancelAttempts();
   answering.mapped().source = answer.source;
-  answering.mapped().isAnswered = true;
   attempts.insert(std::move(answering));
   deadlineTimer.stop();
   hedgeTimer.stop();
@@ -552,7 +556,9 @@
 }
 
 void IngressCall::onAnswerStalled(const Address &target) {
-  endAttempt(target, true).source->cancel();
+  Attempt attempt = endAttempt(target, true);
+  recordForRollout(attempt, AttemptEnd::Failed);
+  attempt.source->cancel();
   sendLocalAnswer({httpStatus::GatewayTimeout, Outcome::Unknown,
                    "answer-stalled", std::nullopt});
 }
@@ -578,6 +584,7 @@
       return;
     }
     // Too large to buffer: the chunks read so far and the rest are streamed.
+    recordForRollout(attempts.at(target), AttemptEnd::Answered);
     bufferedCharge.set(0);
     if (std::exchange(isClaimHeld, false))
       claim->finish(ClaimState::Done,
@@ -596,9 +603,10 @@
       std::holds_alternative<BodyBroken>(chunk) ||
       (head.contentLength && *head.contentLength != bufferedBody.size() &&
        request->method != "HEAD");
-  const Attempt attempt = endAttempt(target, isBroken);
+  Attempt attempt = endAttempt(target, isBroken);
+  recordForRollout(attempt,
+                   isBroken ? AttemptEnd::Failed : AttemptEnd::Answered);
   if (isBroken) {
-    recordForRollout(attempt, true);
     onBufferedAnswerBroken(target, attempt.loadAtPick);
     return;
   }
@@ -760,13 +768,9 @@
 }
 
 void IngressCall::cancelAttempts() {
-  for (const auto &[target, attempt] : std::exchange(attempts, {})) {
+  for (auto &[target, attempt] : std::exchange(attempts, {})) {
     task.measure.loadTable().onEnded(target, false, NodeServices::now());
-    const bool isLate =
-        !attempt.isAnswered && rule->targetLatency &&
-        NodeServices::now() - attempt.startedAt > *rule->targetLatency;
-    if (isLate)
-      recordForRollout(attempt, false);
+    recordForRollout(attempt, AttemptEnd::Cancelled);
     if (attempt.source)
       attempt.source->cancel();
   }
--- a/src/node/IngressCall.h
+++ b/src/node/IngressCall.h
@@ -84,8 +84,8 @@
     std::uint64_t rolloutOrder = 0;
     /** True if the target is of the version that the order names. */
     bool isOrdered = false;
-    /** True once the head of the answer has come. */
-    bool isAnswered = false;
+    /** True once it counts for the roll-out. */
+    bool isCounted = false;
   };
   /** By the peers address of the target's node. */
   std::map<Address, Attempt> attempts;
@@ -169,8 +169,8 @@
   /** Takes an attempt out of the map and out of the target's load estimate.
    * \param failed as for LoadTable::onEnded(). */
   Attempt endAttempt(const Address &target, bool failed);
-  /** Counts how an attempt went towards the roll-out of the service. */
-  void recordForRollout(const Attempt &attempt, bool isFailed);
+  /** Counts how an attempt ended towards the roll-out of the service, once. */
+  void recordForRollout(Attempt &attempt, AttemptEnd end);
   /** Streams the answer to the caller. */
   void relay(const Address &target, const AnswerHead &head,
              const AnswerSourcePtr &source);
--- a/src/process/Rollout.cpp
+++ b/src/process/Rollout.cpp
@@ -7,6 +7,14 @@
 
 namespace plantainhatch {
 
+std::optional<bool> judgeAttempt(AttemptEnd end, bool isLate, bool mayBeLate) {
+  const bool isBad = end == AttemptEnd::Failed || (isLate && !mayBeLate);
+  // What was cancelled might still have been answered.
+  if (end == AttemptEnd::Cancelled && !isBad)
+    return std::nullopt;
+  return isBad;
+}
+
 Rollout::Rollout(RolloutRule rule, Limits limits, std::uint64_t seed,
                  TimePoint now)
     : current(std::move(rule)), limits(limits), orderedAt(now), heardAt(now),
--- a/src/process/Rollout.h
+++ b/src/process/Rollout.h
@@ -17,6 +17,14 @@
 
 namespace plantainhatch {
 
+/** How an attempt at a target ended. */
+enum class AttemptEnd : std::uint8_t { Answered, Failed, Cancelled };
+
+/** True if an attempt speaks against the target's version; nothing if it shows
+ * nothing. \param isLate true if it took longer than the rule's target latency.
+ * \param mayBeLate true for a target that is slow whatever its version. */
+std::optional<bool> judgeAttempt(AttemptEnd end, bool isLate, bool mayBeLate);
+
 /** The orders to move a service to another version of its software, as one
  * process has heard of them: which versions may get calls, how many calls the
  * ordered one may get, and how the answers were. Only the latest order is in
--- a/test/correctness/RolloutTest.cpp
+++ b/test/correctness/RolloutTest.cpp
@@ -276,6 +276,19 @@
   CHECK(!measure(33).isEnough());
 }
 
+// Guards against a cold target that counts as good since it was given up.
+TEST(Rollout, CancelledAttemptsCountOnlyAgainstAVersion) {
+  using enum AttemptEnd;
+  for (const bool isCold : {false, true}) {
+    CHECK(judgeAttempt(Failed, false, isCold) == true);
+    CHECK(judgeAttempt(Answered, false, isCold) == false);
+    CHECK(judgeAttempt(Answered, true, isCold) == !isCold);
+    CHECK(!judgeAttempt(Cancelled, false, isCold));
+  }
+  CHECK(judgeAttempt(Cancelled, true, false) == true);
+  CHECK(!judgeAttempt(Cancelled, true, true));
+}
+
 // Guards against a restarted node that asks late how far the roll-out is, and
 // against nodes that ask without end while nobody knows.
 TEST(Rollout, QuestionsComeAtOnceAndThenLessOften) {
--- a/test/platform/RolloutsTest.cpp
+++ b/test/platform/RolloutsTest.cpp
@@ -4,6 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <fstream>
+#include <optional>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainhatch;
@@ -71,6 +75,20 @@
     return good;
   }
 
+  /** The decision to take the version back, if it was logged. */
+  std::optional<json> findFault() {
+    for (const auto &machine : site.machines) {
+      std::ifstream log(machine->logFile + ".out");
+      for (std::string line; std::getline(log, line);) {
+        const json entry = json::parse(line, nullptr, false);
+        if (entry.is_object() && entry.value("phase", "") == "rolled-back" &&
+            entry.value("bad", 0) > 0)
+          return entry;
+      }
+    }
+    return std::nullopt;
+  }
+
   unsigned runsOfNew() const { return site.machines[New]->target->runCount(); }
 };
 
@@ -111,6 +129,18 @@
   LONGS_EQUAL(before + 40, runsOfNew());
 }
 
+// Guards against a broken answer that counts as a good one as well.
+TEST(Rollouts, BrokenAnswersCountOnce) {
+  start();
+  order("v2", 60);
+  CHECK(callUntil("running"));
+  startNewVersion(SiteTarget::Manner::BreakOff);
+  CHECK(callUntil("rolled_back"));
+  std::optional<json> fault;
+  CHECK(Fleet::waitUntil([&] { return (fault = findFault()).has_value(); }));
+  LONGS_EQUAL(fault->at("bad").get<int>(), fault->at("answers").get<int>());
+}
+
 // Guards against refused calls at a node that starts anew when the service has
 // only the version that it was moved to.
 TEST(Rollouts, RestartedNodeServesWithTheCompletedVersionAtOnce) {
