Round the number of trial targets to the nearest

Cause: it was rounded down, so that with 49 others one trial target got twice the calls of each of these, and looked bad under load.

Change: round to the nearest: at most 1.5 times the usual calls.

Result: Rollout.TrialTargetsGetAboutAsManyCallsAsOthers failed before and passes.

--- a/src/request/narrowToRollout.cpp
+++ b/src/request/narrowToRollout.cpp
@@ -42,7 +42,7 @@
   });
   // As many as get about the calls of one of the others each.
   const auto count = static_cast<std::size_t>(
-      std::floor(static_cast<double>(otherCount) * rollout.trialShare()));
+      std::lround(static_cast<double>(otherCount) * rollout.trialShare()));
   candidates.resize(
       std::min(candidates.size(), std::max<std::size_t>(1, count)));
 }
--- a/test/correctness/RolloutTest.cpp
+++ b/test/correctness/RolloutTest.cpp
@@ -276,6 +276,24 @@
   CHECK(!measure(33).isEnough());
 }
 
+// Guards against trial targets that get up to twice the calls of others.
+TEST(Rollout, TrialTargetsGetAboutAsManyCallsAsOthers) {
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  for (const std::uint16_t others : {5, 30, 49, 60, 63, 120}) {
+    const double usual = others * Limits.trialShare;
+    const auto fleet = makeFleet(others, 10);
+    std::size_t tried = 0;
+    while (tried == 0) {
+      rollout.onAnswer("rule", false, false);
+      auto candidates = fleet;
+      narrowToRollout(candidates, rollout, false, now);
+      tried = candidates.front().isOrdered ? candidates.size() : 0;
+    }
+    CHECK(usual / static_cast<double>(tried) <= 1.5);
+    CHECK(tried == 1 || usual / static_cast<double>(tried) >= 0.75);
+  }
+}
+
 // Guards against a cold target that counts as good since it was given up.
 TEST(Rollout, CancelledAttemptsCountOnlyAgainstAVersion) {
   using enum AttemptEnd;
