Judge each of many routes by itself in roll-outs

Change: nodes keep the sums of all rules and tell those of twelve at a time, of both versions, in turn. Messages are as long as before.

Result: RolloutVerdict.ManyRoutesAreJudgedEachByItself (30 routes, three of which fail half of their calls whatever the version) failed before with a good version taken back, and passes. In the other tests reports that are lost now are lost, and not only late; they pass.

--- a/src/node/RolloutTask.cpp
+++ b/src/node/RolloutTask.cpp
@@ -136,12 +136,12 @@
 }
 
 void RolloutTask::report(Entry &entry) {
-  const Rollout &rollout = entry.rollout;
+  Rollout &rollout = entry.rollout;
   if (rollout.isOver())
     return;
   const RolloutReport report{
       rollout.rule().service, rollout.rule().order, rollout.phase(),
-      toWireAge(rollout.age(NodeServices::now())), rollout.counts()};
+      toWireAge(rollout.age(NodeServices::now())), rollout.takeCounts()};
   const Address &self = services.settings.peers;
   if (std::ranges::find(entry.deciders, self) != entry.deciders.end())
     entry.verdict.add(self, peers.membership().self().generation,
--- a/src/process/Rollout.cpp
+++ b/src/process/Rollout.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cassert>
 #include <iterator>
-#include <ranges>
 
 namespace plantainhatch {
 
@@ -69,10 +68,8 @@
 }
 
 void Rollout::onAnswer(const std::string &rule, bool isOrdered, bool isBad) {
-  const bool isKnown = answers.contains({rule, isOrdered});
-  const std::string name = isKnown || answers.size() < MaxRules ? rule : "";
-  RolloutCount &count = answers[{name, isOrdered}];
-  count.rule = name;
+  RolloutCount &count = answers[rule][isOrdered ? 1 : 0];
+  count.rule = rule;
   count.isOrdered = isOrdered;
   ++count.answers;
   count.bad += isBad ? 1 : 0;
@@ -95,10 +92,18 @@
   return isAllowed;
 }
 
-std::vector<RolloutCount> Rollout::counts() const {
-  std::vector<RolloutCount> all;
-  std::ranges::copy(answers | std::views::values, std::back_inserter(all));
-  return all;
+std::vector<RolloutCount> Rollout::takeCounts() {
+  const std::size_t ruleCount = std::min(MaxRules, answers.size());
+  std::vector<RolloutCount> taken;
+  taken.reserve(2 * ruleCount);
+  auto next = answers.upper_bound(lastTold);
+  for (std::size_t n = 0; n < ruleCount; ++n, ++next) {
+    next = next == answers.end() ? answers.begin() : next;
+    std::ranges::copy_if(next->second, std::back_inserter(taken),
+                         [](const RolloutCount &it) { return it.answers > 0; });
+    lastTold = next->first;
+  }
+  return taken;
 }
 
 } // namespace plantainhatch
--- a/src/process/Rollout.h
+++ b/src/process/Rollout.h
@@ -7,6 +7,7 @@
 #include "process/RolloutPhase.h"
 #include "version/Rule.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <random>
@@ -38,9 +39,8 @@
     double trialShare = 0;
     std::chrono::milliseconds lease{0};
   };
-  /** Calls of rules beyond these are counted together, so that what nodes tell
-   * one another is bounded. */
-  static constexpr std::size_t MaxRules = 24;
+  /** Rules whose sums are told at a time, so that a message is bounded. */
+  static constexpr std::size_t MaxRules = 12;
   /** Trials that may be saved up while there is no call or no target. */
   static constexpr unsigned MaxTrials = 2;
   /** After this long without news, a service that has no targets but those of
@@ -125,8 +125,10 @@
   bool isSilent(TimePoint now) const { return now - heardAt >= MaxSilence; }
   /** Time since the order became known to any node that was heard. */
   Duration age(TimePoint now) const { return now - orderedAt; }
-  /** The answers since the order. */
-  std::vector<RolloutCount> counts() const;
+  /** The answers since the order to the calls of MaxRules rules at most, and
+   * those of the next ones at the next call. Both versions' answers to a rule
+   * come together, as they are compared. */
+  std::vector<RolloutCount> takeCounts();
 
 private:
   RolloutRule current;
@@ -143,8 +145,9 @@
   bool hasOthers = true;
   unsigned trials = 0;
   std::mt19937_64 random;
-  /** By rule, and whether the answers are of the ordered version. */
-  std::map<std::pair<std::string, bool>, RolloutCount> answers;
+  /** By rule; the second is of the ordered version. */
+  std::map<std::string, std::array<RolloutCount, 2>> answers;
+  std::string lastTold;
   std::set<std::string> former;
   std::set<std::string> blocked;
   std::set<std::string> rolledBack;
--- a/test/correctness/RolloutTest.cpp
+++ b/test/correctness/RolloutTest.cpp
@@ -327,8 +327,6 @@
 
 TEST_GROUP(RolloutVerdict) {
   static constexpr unsigned Nodes = 20;
-  static constexpr std::array<const char *, 3> Rules{"a", "b", "c"};
-  static constexpr unsigned CallsPerTick = 261;
   static constexpr unsigned Ticks = 28;
 
   /** Share of bad answers of a rule in a tick, of one version. */
@@ -336,6 +334,8 @@
 
   std::mt19937_64 random{7};
   RolloutVerdict verdict;
+  std::vector<std::string> rules{"a", "b", "c"};
+  unsigned callsPerTick = 261;
 
   /** Plays a roll-out of 14 s whose reports may be late or lost, and whose
    * nodes start anew. \return bad answers until the verdict; nothing if there
@@ -351,9 +351,9 @@
     std::generate_n(std::back_inserter(nodes), Nodes, makeNode);
     unsigned bad = 0;
     for (unsigned tick = 0; tick < Ticks; ++tick) {
-      for (unsigned call = 0; call < CallsPerTick; ++call) {
+      for (unsigned call = 0; call < callsPerTick; ++call) {
         Rollout &node = nodes[random() % Nodes];
-        const std::string rule = Rules[random() % Rules.size()];
+        const std::string rule = rules[random() % rules.size()];
         const bool isOrdered = node.takeTrial(TimePoint{});
         const bool isBad = std::bernoulli_distribution(
             (isOrdered ? ordered : others)(rule, tick))(random);
@@ -365,9 +365,11 @@
         nodes[restarted] = makeNode();
         ++generations[restarted];
       }
-      for (std::uint16_t n = 0; n < Nodes; ++n)
+      for (std::uint16_t n = 0; n < Nodes; ++n) {
+        const auto counts = nodes[n].takeCounts();
         if (random() % 4 != 0)
-          verdict.add({"10.0.0.1", n}, generations[n], nodes[n].counts());
+          verdict.add({"10.0.0.1", n}, generations[n], counts);
+      }
       verdict.judge();
       if (verdict.fault())
         return bad;
@@ -410,6 +412,29 @@
     }
 }
 
+// Guards against a verdict that compares the answers of unlike routes, as nodes
+// tell only some of many at a time.
+TEST(RolloutVerdict, ManyRoutesAreJudgedEachByItself) {
+  rules.clear();
+  for (unsigned n = 0; n < 30; ++n)
+    rules.push_back("route-" + std::to_string(n));
+  callsPerTick = 1'500;
+  const Badness unlike = [](const std::string &rule, unsigned) {
+    return rule.back() == '7' ? 0.5 : 0.0;
+  };
+  const Badness worse = [&](const std::string &rule, unsigned tick) {
+    return rule == rules[4] ? 0.7 : unlike(rule, tick);
+  };
+  for (unsigned n = 0; n < 50; ++n) {
+    verdict = {};
+    CHECK(!play(unlike, unlike));
+    verdict = {};
+    const auto bad = play(worse, unlike);
+    CHECK(bad.has_value());
+    CHECK(verdict.fault()->rule == rules[4]);
+  }
+}
+
 TEST(RolloutVerdict, SumsThatComeTwiceOrLateCountOnce) {
   const RolloutCount first{"a", true, 10, 3};
   const RolloutCount second{"a", true, 12, 4};
