Keep the move of short roll-outs within the share

Cause: all calls moved 0.65 s before the deadline at least. Of an order of less than 9 s that is more than a bad version may get.

Change: trials and move together stay within the share; both times get shorter with the duration. The row is written 0.1 s before the deadline at least, which exceeds the share for orders of less than 1.7 s.

Result: Rollout.TrialsAndMoveTogetherStayInTheShareAtAnyDuration (2 s to 10 min) fails with the former times and passes.

--- a/src/node/RolloutTask.cpp
+++ b/src/node/RolloutTask.cpp
@@ -12,19 +12,6 @@
 
 using Milliseconds = std::chrono::milliseconds;
 
-/** When the deciding node has to say that all calls move, and to write so,
- * after the order. */
-Duration writeTimeOf(const RolloutRule &rule) {
-  return std::max<Duration>(rule.duration / 2,
-                            rule.duration - RolloutTask::WriteMargin);
-}
-
-Duration moveTimeOf(const RolloutRule &rule) {
-  const Duration part = std::chrono::duration_cast<Duration>(
-      RolloutTask::MovePart * std::chrono::duration<double>(rule.duration));
-  return writeTimeOf(rule) - std::max<Duration>(part, RolloutTask::MinMoveTime);
-}
-
 std::uint32_t toWireAge(Duration age) {
   constexpr Milliseconds Most{std::numeric_limits<std::uint32_t>::max()};
   const auto ms = std::chrono::floor<Milliseconds>(age);
@@ -79,7 +66,8 @@
   if (known == entries.end()) {
     const Rollout::Limits limits{
         settings.exposureShare * TrialPart,
-        std::min<Milliseconds>(MaxLease, settings.rollback / 2)};
+        std::min<Milliseconds>(MaxLease, settings.rollback / 2),
+        settings.exposureShare * (1 - TrialPart)};
     entries.emplace(rule.service,
                     Entry{Rollout(rule, limits, services.random(), now),
                           {},
@@ -156,10 +144,12 @@
   if (rollout.isOver())
     return rollout.phase();
   const TimePoint now = NodeServices::now();
-  const bool hasMoved = rollout.phase() == RolloutPhase::Moving &&
-                        now - entry.movingSince >= MinMoveTime &&
-                        rollout.age(now) >= writeTimeOf(rollout.rule()) &&
-                        room(rollout).isEnough();
+  const auto [move, write] = rollout.times();
+  const bool hasMoved =
+      rollout.phase() == RolloutPhase::Moving &&
+      now - entry.movingSince >=
+          std::min<Duration>(Rollout::MinMoveTime, write - move) &&
+      rollout.age(now) >= write && room(rollout).isEnough();
   return hasMoved ? RolloutPhase::Completed : RolloutPhase::Running;
 }
 
@@ -185,7 +175,7 @@
   if (entry.verdict.fault())
     enter(entry, RolloutPhase::RolledBack, age, "the answers");
   else if (rollout.phase() == RolloutPhase::Running &&
-           age >= moveTimeOf(rollout.rule()) && room(rollout).slots > 0)
+           age >= rollout.times().move && room(rollout).slots > 0)
     enter(entry, RolloutPhase::Moving, age, "the deadline");
 }
 
--- a/src/node/RolloutTask.h
+++ b/src/node/RolloutTask.h
@@ -40,13 +40,6 @@
   /** Trials as a part of what a bad version may get. The rest is for the calls
    * that move before the deadline, and for calls that never arrive. */
   static constexpr double TrialPart = 0.4;
-  /** Time from the move of all calls until it is written, as a part of the
-   * roll-out, and at least. Calls at former targets end meanwhile. */
-  static constexpr double MovePart = 0.02;
-  static constexpr std::chrono::milliseconds MinMoveTime{250};
-  /** The decision is written this long before the deadline. */
-  static constexpr std::chrono::milliseconds WriteMargin{400};
-
   /** \param format nothing if there are no roll-outs. The other arguments must
    * outlive this task. */
   RolloutTask(NodeServices &services, PeerTask &peers,
--- a/src/process/Rollout.cpp
+++ b/src/process/Rollout.cpp
@@ -20,6 +20,8 @@
       askAt(now), random(seed) {
   assert(limits.trialShare >= 0 && limits.trialShare <= 1 &&
          "a share of the calls");
+  assert(limits.moveShare >= 0 && limits.moveShare <= 1 &&
+         "a part of the duration");
 }
 
 void Rollout::order(const RolloutRule &rule, TimePoint now) {
@@ -92,6 +94,25 @@
   return isAllowed;
 }
 
+Rollout::Times Rollout::times() const {
+  const std::chrono::duration<double> whole = current.duration;
+  const std::chrono::duration<double> usual =
+      WriteMargin +
+      std::max<std::chrono::duration<double>>(MovePart * whole, MinMoveTime);
+  // Until the deadline, what has moved counts as calls to a version that may be
+  // bad.
+  const double factor = std::min(1.0, limits.moveShare * whole / usual);
+  const auto before = [&](std::chrono::duration<double> time) {
+    return std::max<Duration>(current.duration / 2,
+                              current.duration -
+                                  std::chrono::duration_cast<Duration>(time));
+  };
+  return {before(std::max<std::chrono::duration<double>>(factor * usual,
+                                                         MinWriteMargin)),
+          before(std::max<std::chrono::duration<double>>(factor * WriteMargin,
+                                                         MinWriteMargin))};
+}
+
 std::vector<RolloutCount> Rollout::takeCounts() {
   const std::size_t ruleCount = std::min(MaxRules, answers.size());
   std::vector<RolloutCount> taken;
--- a/src/process/Rollout.h
+++ b/src/process/Rollout.h
@@ -38,6 +38,16 @@
     /** Calls to the ordered version, as a share of the answers of others. */
     double trialShare = 0;
     std::chrono::milliseconds lease{0};
+    /** Last part of an order's duration in which all calls may go to the
+     * ordered version. */
+    double moveShare = 0;
+  };
+  /** Times after the order. */
+  struct Times {
+    /** When all calls begin to move. */
+    Duration move{};
+    /** When the completion is to be written. */
+    Duration write{};
   };
   /** Rules whose sums are told at a time, so that a message is bounded. */
   static constexpr std::size_t MaxRules = 12;
@@ -46,13 +56,21 @@
   /** After this long without news, a service that has no targets but those of
    * the ordered version is served by these. */
   static constexpr std::chrono::milliseconds MaxSilence{3'000};
+  /** Time from the move until the completion is written, as a part of the
+   * duration, and at least. Calls at former targets end meanwhile. */
+  static constexpr double MovePart = 0.02;
+  static constexpr std::chrono::milliseconds MinMoveTime{250};
+  /** The completion is written this long before the deadline, */
+  static constexpr std::chrono::milliseconds WriteMargin{400};
+  /** and no less if the order is short. */
+  static constexpr std::chrono::milliseconds MinWriteMargin{100};
   /** Pause after the first question how far the roll-out is. Each later one is
    * twice as long. */
   static constexpr std::chrono::milliseconds FirstPause{50};
   /** How long after the end former targets are still about to stop. */
   static constexpr std::chrono::seconds FormerTime{10};
 
-  /** \pre \p limits.trialShare is from 0 to 1. */
+  /** \pre The shares of \p limits are from 0 to 1. */
   Rollout(RolloutRule rule, Limits limits, std::uint64_t seed, TimePoint now);
 
   /** Begins a later order. The version of an order that was not completed gets
@@ -123,6 +141,7 @@
   double trialShare() const { return limits.trialShare; }
   /** True if there was no news for MaxSilence. */
   bool isSilent(TimePoint now) const { return now - heardAt >= MaxSilence; }
+  Times times() const;
   /** Time since the order became known to any node that was heard. */
   Duration age(TimePoint now) const { return now - orderedAt; }
   /** The answers since the order to the calls of MaxRules rules at most, and
--- a/test/correctness/RolloutTest.cpp
+++ b/test/correctness/RolloutTest.cpp
@@ -18,7 +18,7 @@
 
 constexpr double ExposureShare = 0.1;
 constexpr double ExposureSlack = 50;
-constexpr Rollout::Limits Limits{0.04, 2'500ms};
+constexpr Rollout::Limits Limits{0.04, 2'500ms, 0.06};
 const RolloutRule Order{"shop", "v2", 14s, 5};
 
 Candidate candidateOf(std::uint16_t port, const std::string &version) {
@@ -276,6 +276,20 @@
   CHECK(!measure(33).isEnough());
 }
 
+// Guards against short orders whose move takes more of their time than a bad
+// version may get of the calls.
+TEST(Rollout, TrialsAndMoveTogetherStayInTheShareAtAnyDuration) {
+  for (const auto duration : {2s, 3s, 5s, 8s, 9s, 14s, 60s, 600s}) {
+    rollout = Rollout({"shop", "v2", duration, 5}, Limits, 1, now);
+    const auto [move, write] = rollout.times();
+    const std::chrono::duration<double> moved = duration - move;
+    const double share = moved / duration;
+    CHECK(share + Limits.trialShare * (1 - share) <= ExposureShare);
+    CHECK(move < write);
+    CHECK(write <= duration - Rollout::MinWriteMargin);
+  }
+}
+
 // Guards against trial targets that get up to twice the calls of others.
 TEST(Rollout, TrialTargetsGetAboutAsManyCallsAsOthers) {
   rollout.onNews(RolloutPhase::Running, 0s, now);
