--- a/test/correctness/RolloutTest.cpp
+++ b/test/correctness/RolloutTest.cpp
@@ -321,6 +321,73 @@
   CHECK(!judgeAttempt(Cancelled, true, true));
 }
 
+// Guards against an outage of a service that is moved to the version that it
+// runs with.
+TEST(Rollout, OnlyVersionServesWhileRunningWithoutTrialsOrLease) {
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  now += Limits.lease + 1ms;
+  auto candidates = makeFleet(0, 2);
+  narrowToRollout(candidates, rollout, false, now);
+  LONGS_EQUAL(2, candidates.size());
+}
+
+// Guards against an outage if the order for the only version is replaced before
+// it is decided, and against the same leniency after a roll-back.
+TEST(Rollout, UndecidedVersionServesIfItIsAlone) {
+  const auto countLeft = [&](std::uint16_t others) {
+    auto candidates = makeFleet(others, 2);
+    narrowToRollout(candidates, rollout, false, now);
+    return std::ranges::count(candidates, "v2", &Candidate::softwareVersion);
+  };
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  rollout.order({"shop", "v3", 14s, 9}, now);
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  LONGS_EQUAL(0, countLeft(1));
+  LONGS_EQUAL(2, countLeft(0));
+  rollout.order({"shop", "v2", 14s, 10}, now);
+  rollout.onNews(RolloutPhase::RolledBack, 0s, now);
+  rollout.order({"shop", "v3", 14s, 11}, now);
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  LONGS_EQUAL(0, countLeft(0));
+}
+
+// Guards against a service whose only version gets no calls since it is ordered
+// once more.
+TEST(Rollout, CompletedVersionThatIsOrderedAgainStaysCompleted) {
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  CHECK(left("v1") > 0);
+  rollout.onNews(RolloutPhase::Completed, 0s, now);
+  rollout.order({"shop", "v2", 14s, 9}, now);
+  CHECK(rollout.phase() == RolloutPhase::Completed);
+  LONGS_EQUAL(9, rollout.rule().order);
+  LONGS_EQUAL(0, left("v1"));
+  LONGS_EQUAL(2, left("v2"));
+}
+
+// Guards against calls to a version that nobody judges any more.
+TEST(Rollout, NothingMovesWithoutFreshNews) {
+  rollout.onNews(RolloutPhase::Moving, 0s, now);
+  now += Limits.lease + 1ms;
+  LONGS_EQUAL(0, left("v2"));
+  LONGS_EQUAL(3, left("v1"));
+  auto candidates = makeFleet(0, 2);
+  narrowToRollout(candidates, rollout, false, now);
+  LONGS_EQUAL(2, candidates.size());
+}
+
+// Guards against an ordinary release of a former version that gets no calls.
+TEST(Rollout, FormerVersionsMayReturnAfterTheirTime) {
+  rollout.onNews(RolloutPhase::Running, 0s, now);
+  CHECK(left("v1") > 0);
+  rollout.onNews(RolloutPhase::Completed, 0s, now);
+  now += Rollout::FormerTime - 1ms;
+  rollout.onNews(RolloutPhase::Completed, 0s, now);
+  LONGS_EQUAL(0, left("v1"));
+  now += 1ms;
+  LONGS_EQUAL(3, left("v1"));
+  LONGS_EQUAL(2, left("v2"));
+}
+
 // Guards against a restarted node that asks late how far the roll-out is, and
 // against nodes that ask without end while nobody knows.
 TEST(Rollout, QuestionsComeAtOnceAndThenLessOften) {
