Mend what the linter found in roll-outs

Cause: an optional that was not seen to be checked, a narrowing conversion, and a constant that prevented a move.

Result: clang-tidy is silent on the three files.

--- a/src/node/RolloutTask.cpp
+++ b/src/node/RolloutTask.cpp
@@ -3,6 +3,7 @@
 #include "process/Rendezvous.h"
 
 #include <algorithm>
+#include <cassert>
 #include <limits>
 #include <ranges>
 
@@ -61,6 +62,7 @@
 
 void RolloutTask::order(const RolloutRule &rule,
                         const RolloutSettings &settings) {
+  assert(format && "orders come only with a place for the rows");
   const TimePoint now = NodeServices::now();
   const auto known = entries.find(rule.service);
   if (known == entries.end()) {
--- a/test/correctness/RolloutTest.cpp
+++ b/test/correctness/RolloutTest.cpp
@@ -261,7 +261,7 @@
   }
   Member self;
   self.peersAddress = {"10.0.0.2", 1};
-  const auto measure = [&](std::size_t last) {
+  const auto measure = [&](std::ptrdiff_t last) {
     Membership membership(self, 1);
     membership.merge({records.begin(), records.begin() + last}, false, now);
     return measureRolloutRoom(Order, membership, loads, now);
--- a/test/platform/RolloutsTest.cpp
+++ b/test/platform/RolloutsTest.cpp
@@ -80,7 +80,7 @@
     for (const auto &machine : site.machines) {
       std::ifstream log(machine->logFile + ".out");
       for (std::string line; std::getline(log, line);) {
-        const json entry = json::parse(line, nullptr, false);
+        json entry = json::parse(line, nullptr, false);
         if (entry.is_object() && entry.value("phase", "") == "rolled-back" &&
             entry.value("bad", 0) > 0)
           return entry;
