--- a/src/node/RolloutTask.cpp
+++ b/src/node/RolloutTask.cpp
@@ -3,6 +3,7 @@
 #include "process/Rendezvous.h"
 
 #include <algorithm>
+#include <cassert>
 #include <limits>
 #include <ranges>
 
@@ -12,19 +13,6 @@
 
 using Milliseconds = std::chrono::milliseconds;
 
-/** When the deciding node has to say that all calls move, and to write so,
- * after the order. */
-Duration writeTimeOf(const RolloutRule &rule) {
-  return std::max<Duration>(rule.duration / 2,
-                            rule.duration - RolloutTask::WriteMargin);
-}
-
-Duration moveTimeOf(const RolloutRule &rule) {
-  const Duration part = std::chrono::duration_cast<Duration>(
-      RolloutTask::MovePart * std::chrono::duration<double>(rule.duration));
-  return writeTimeOf(rule) - std::max<Duration>(part, RolloutTask::MinMoveTime);
-}
-
 std::uint32_t toWireAge(Duration age) {
   constexpr Milliseconds Most{std::numeric_limits<std::uint32_t>::max()};
   const auto ms = std::chrono::floor<Milliseconds>(age);
@@ -51,10 +39,10 @@
 } // namespace
 
 RolloutTask::RolloutTask(NodeServices &services, PeerTask &peers,
-                         ConfigurationTask &configuration,
+                         ConfigurationTask &configuration, MeasureTask &measure,
                          std::optional<RolloutStatusFormat> format)
     : services(services), peers(peers), configuration(configuration),
-      format(std::move(format)) {}
+      measure(measure), format(std::move(format)) {}
 
 Rollout *RolloutTask::find(const std::string &service) {
   const auto entry = entries.find(service);
@@ -74,12 +62,14 @@
 
 void RolloutTask::order(const RolloutRule &rule,
                         const RolloutSettings &settings) {
+  assert(format && "orders come only with a place for the rows");
   const TimePoint now = NodeServices::now();
   const auto known = entries.find(rule.service);
   if (known == entries.end()) {
     const Rollout::Limits limits{
         settings.exposureShare * TrialPart,
-        std::min<Milliseconds>(MaxLease, settings.rollback / 2)};
+        std::min<Milliseconds>(MaxLease, settings.rollback / 2),
+        settings.exposureShare * (1 - TrialPart)};
     entries.emplace(rule.service,
                     Entry{Rollout(rule, limits, services.random(), now),
                           {},
@@ -99,24 +89,35 @@
   } else {
     return;
   }
-  logPhase(entries.at(rule.service), "the configuration");
+  Entry &entry = entries.at(rule.service);
+  logPhase(entry, "the configuration");
+  // Until it knows more, this node may have no target for calls. Without the
+  // others it would take itself for the one that decides.
+  if (!peers.membership().others().empty())
+    step(entry);
 }
 
 void RolloutTask::tick() {
   const ScopedControlCpuTimer scope(services.metrics);
+  for (Entry &entry : entries | std::views::values)
+    step(entry);
+}
+
+void RolloutTask::step(Entry &entry) {
   const TimePoint now = NodeServices::now();
-  for (Entry &entry : entries | std::views::values) {
-    if (now - entry.reportedAt >= ReportInterval) {
-      entry.reportedAt = now;
-      entry.deciders =
-          findHighest(peers.membership(),
-                      "rollout/" + entry.rollout.rule().service, DeciderCount);
-      report(entry);
-      entry.verdict.judge();
-    }
-    if (isDecider(entry))
-      decide(entry);
+  const bool isDue = now - entry.reportedAt >= ReportInterval;
+  if (entry.rollout.takeQuestion(now) || isDue) {
+    entry.deciders =
+        findHighest(peers.membership(),
+                    "rollout/" + entry.rollout.rule().service, DeciderCount);
+    report(entry);
   }
+  if (isDue) {
+    entry.reportedAt = now;
+    entry.verdict.judge();
+  }
+  if (isDecider(entry))
+    decide(entry);
 }
 
 bool RolloutTask::isDecider(const Entry &entry) const {
@@ -125,12 +126,12 @@
 }
 
 void RolloutTask::report(Entry &entry) {
-  const Rollout &rollout = entry.rollout;
+  Rollout &rollout = entry.rollout;
   if (rollout.isOver())
     return;
   const RolloutReport report{
       rollout.rule().service, rollout.rule().order, rollout.phase(),
-      toWireAge(rollout.age(NodeServices::now())), rollout.counts()};
+      toWireAge(rollout.age(NodeServices::now())), rollout.takeCounts()};
   const Address &self = services.settings.peers;
   if (std::ranges::find(entry.deciders, self) != entry.deciders.end())
     entry.verdict.add(self, peers.membership().self().generation,
@@ -140,14 +141,17 @@
   peers.sendToAll(receivers, report);
 }
 
-RolloutPhase RolloutTask::wantedRow(const Entry &entry) {
+RolloutPhase RolloutTask::wantedRow(const Entry &entry) const {
   const Rollout &rollout = entry.rollout;
   if (rollout.isOver())
     return rollout.phase();
   const TimePoint now = NodeServices::now();
-  const bool hasMoved = rollout.phase() == RolloutPhase::Moving &&
-                        now - entry.movingSince >= MinMoveTime &&
-                        rollout.age(now) >= writeTimeOf(rollout.rule());
+  const auto [move, write] = rollout.times();
+  const bool hasMoved =
+      rollout.phase() == RolloutPhase::Moving &&
+      now - entry.movingSince >=
+          std::min<Duration>(Rollout::MinMoveTime, write - move) &&
+      rollout.age(now) >= write && room(rollout).isEnough();
   return hasMoved ? RolloutPhase::Completed : RolloutPhase::Running;
 }
 
@@ -173,28 +177,25 @@
   if (entry.verdict.fault())
     enter(entry, RolloutPhase::RolledBack, age, "the answers");
   else if (rollout.phase() == RolloutPhase::Running &&
-           age >= moveTimeOf(rollout.rule()) && hasOrderedTarget(rollout))
+           age >= rollout.times().move && room(rollout).slots > 0)
     enter(entry, RolloutPhase::Moving, age, "the deadline");
 }
 
-bool RolloutTask::hasOrderedTarget(const Rollout &rollout) const {
-  const auto isOrdered = [&](const Member &member) {
-    return member.isCandidate() &&
-           member.target.service == rollout.rule().service &&
-           member.target.softwareVersion == rollout.rule().softwareVersion;
-  };
-  return isOrdered(peers.membership().self()) ||
-         std::ranges::any_of(peers.membership().others() | std::views::values,
-                             isOrdered);
+RolloutRoom RolloutTask::room(const Rollout &rollout) const {
+  return measureRolloutRoom(rollout.rule(), peers.membership(),
+                            measure.loadTable(), NodeServices::now());
 }
 
 void RolloutTask::enter(Entry &entry, RolloutPhase phase, Duration age,
                         std::string_view from) {
-  const TimePoint now = NodeServices::now();
-  if (!entry.rollout.onNews(phase, age, now))
-    return;
+  if (entry.rollout.onNews(phase, age, NodeServices::now()))
+    onEntered(entry, from);
+}
+
+void RolloutTask::onEntered(Entry &entry, std::string_view from) {
+  const RolloutPhase phase = entry.rollout.phase();
   if (phase == RolloutPhase::Moving)
-    entry.movingSince = now;
+    entry.movingSince = NodeServices::now();
   entry.repeats = DecisionRepeats;
   services.metrics.add("rollout_phases_total",
                        "phase=\"" + std::string(nameOf(phase)) + "\"");
@@ -270,7 +271,8 @@
     enter(*entry, report.phase, Milliseconds(report.ageMs), "a report");
   const RolloutPhase phase = entry->rollout.phase();
   const bool isNews = report.phase < phase;
-  if (isNews && (mayDecide || entry->rollout.isOver()))
+  if (isNews && (mayDecide || entry->rollout.isOver() ||
+                 report.phase == RolloutPhase::Unknown))
     peers.sendWithoutUpdates(header.sender, makeNews(*entry));
 }
 
@@ -278,7 +280,15 @@
   Entry *const entry = findOrder(news.service, news.order);
   if (entry == nullptr)
     return;
-  enter(*entry, news.phase, Milliseconds(news.ageMs), header.sender.toString());
+  const Milliseconds age(news.ageMs);
+  const std::string sender = header.sender.toString();
+  // The next one to decide answers those who know nothing.
+  const bool isHearsay =
+      entry->deciders.size() > 1 && entry->deciders[1] == header.sender;
+  if (!isHearsay)
+    enter(*entry, news.phase, age, sender);
+  else if (entry->rollout.onHearsay(news.phase, age, NodeServices::now()))
+    onEntered(*entry, sender);
   if (entry->rollout.isOver() && news.phase < entry->rollout.phase())
     peers.sendWithoutUpdates(header.sender, makeNews(*entry));
 }
--- a/src/node/RolloutTask.h
+++ b/src/node/RolloutTask.h
@@ -5,10 +5,12 @@
 #define PLANTAINHATCH_NODE_ROLLOUTTASK_H
 
 #include "node/ConfigurationTask.h"
+#include "node/MeasureTask.h"
 #include "node/PeerTask.h"
 #include "node/RolloutRow.h"
 #include "process/Rollout.h"
 #include "process/RolloutVerdict.h"
+#include "request/measureRolloutRoom.h"
 
 #include <map>
 #include <optional>
@@ -23,7 +25,7 @@
  * only. */
 class RolloutTask {
 public:
-  static constexpr std::chrono::milliseconds TickInterval{100};
+  static constexpr std::chrono::milliseconds TickInterval{50};
   /** Interval of reports, and of looking up who decides. */
   static constexpr std::chrono::milliseconds ReportInterval{500};
   /** Interval at which the deciding node says that a roll-out goes on. */
@@ -38,17 +40,10 @@
   /** Trials as a part of what a bad version may get. The rest is for the calls
    * that move before the deadline, and for calls that never arrive. */
   static constexpr double TrialPart = 0.4;
-  /** Time from the move of all calls until it is written, as a part of the
-   * roll-out, and at least. Calls at former targets end meanwhile. */
-  static constexpr double MovePart = 0.02;
-  static constexpr std::chrono::milliseconds MinMoveTime{250};
-  /** The decision is written this long before the deadline. */
-  static constexpr std::chrono::milliseconds WriteMargin{400};
-
   /** \param format nothing if there are no roll-outs. The other arguments must
    * outlive this task. */
   RolloutTask(NodeServices &services, PeerTask &peers,
-              ConfigurationTask &configuration,
+              ConfigurationTask &configuration, MeasureTask &measure,
               std::optional<RolloutStatusFormat> format);
 
   /** The orders for \p service; nullptr if there was none. Valid until the next
@@ -77,22 +72,26 @@
   NodeServices &services;
   PeerTask &peers;
   ConfigurationTask &configuration;
+  MeasureTask &measure;
   const std::optional<RolloutStatusFormat> format;
   std::map<std::string, Entry> entries;
   Timer timer;
 
   void order(const RolloutRule &rule, const RolloutSettings &settings);
   void tick();
+  void step(Entry &entry);
   void report(Entry &entry);
   bool isDecider(const Entry &entry) const;
   void decide(Entry &entry);
   /** Judges the version, and moves the calls in time. */
   void advance(Entry &entry);
   /** What the row should say. */
-  static RolloutPhase wantedRow(const Entry &entry);
-  bool hasOrderedTarget(const Rollout &rollout) const;
+  RolloutPhase wantedRow(const Entry &entry) const;
+  RolloutRoom room(const Rollout &rollout) const;
   void enter(Entry &entry, RolloutPhase phase, Duration age,
              std::string_view from);
+  /** Follows a change of the phase. */
+  void onEntered(Entry &entry, std::string_view from);
   void logPhase(const Entry &entry, std::string_view from);
   RolloutNews makeNews(const Entry &entry) const;
   void announce(Entry &entry);
--- a/src/request/narrowToRollout.cpp
+++ b/src/request/narrowToRollout.cpp
@@ -42,15 +42,14 @@
   });
   // As many as get about the calls of one of the others each.
   const auto count = static_cast<std::size_t>(
-      std::floor(static_cast<double>(otherCount) * rollout.trialShare()));
+      std::lround(static_cast<double>(otherCount) * rollout.trialShare()));
   candidates.resize(
       std::min(candidates.size(), std::max<std::size_t>(1, count)));
 }
 
 void narrowWhileRunning(std::vector<Candidate> &candidates, Rollout &rollout,
                         bool isRepeat, TimePoint now) {
-  // The service has no other target.
-  if (!isRepeat && std::ranges::none_of(candidates, isOther))
+  if (!rollout.hasOtherTargets())
     return;
   const bool isTrial = !isRepeat &&
                        std::ranges::any_of(candidates, mayTryOut) &&
@@ -76,6 +75,21 @@
     keep(candidates, isFree);
 }
 
+/** Former targets that have not ended serve what the others cannot take. */
+void narrowWhileEnding(std::vector<Candidate> &candidates,
+                       const Rollout &rollout) {
+  const auto isFormer = [&](const Candidate &it) {
+    return rollout.isFormer(it.softwareVersion);
+  };
+  const auto isFull = [](const Candidate &it) {
+    return it.load.limit > 0 && it.utilization() >= 1;
+  };
+  if (std::ranges::any_of(candidates, [&](const Candidate &it) {
+        return !isFormer(it) && !isFull(it);
+      }))
+    std::erase_if(candidates, isFormer);
+}
+
 } // namespace
 
 void narrowToRollout(std::vector<Candidate> &candidates, Rollout &rollout,
@@ -87,21 +101,26 @@
         rollout.phase() != RolloutPhase::RolledBack)
       rollout.noteFormer(it.softwareVersion);
   }
-  const auto isFormer = [&](const Candidate &it) {
-    return rollout.isFormer(it.softwareVersion);
-  };
   const auto isBlocked = [&](const Candidate &it) {
     return rollout.isBlocked(it.softwareVersion);
   };
-  // One whose end is not known here may be what the service runs with.
-  const bool isAllBlocked = std::ranges::all_of(candidates, isBlocked);
   std::erase_if(candidates, [&](const Candidate &it) {
-    return rollout.isRolledBack(it.softwareVersion) ||
-           (!isAllBlocked && isBlocked(it));
+    return rollout.isRolledBack(it.softwareVersion);
   });
+  if (!isRepeat)
+    rollout.noteTargets(std::ranges::any_of(candidates,
+                                            [&](const Candidate &it) {
+                                              return isOther(it) &&
+                                                     !isBlocked(it);
+                                            }),
+                        std::ranges::any_of(candidates, isOther));
+  // One whose end is not known here may be what the service runs with.
+  if (rollout.hasUnblockedTargets())
+    std::erase_if(candidates, isBlocked);
   switch (rollout.phase()) {
   case RolloutPhase::Unknown:
-    if (!rollout.isSilent(now) || std::ranges::any_of(candidates, isOther))
+    if (rollout.hasOtherTargets() ||
+        (!rollout.isProved() && !rollout.isSilent(now)))
       keep(candidates, isOther);
     break;
   case RolloutPhase::Running:
@@ -114,8 +133,8 @@
     keep(candidates, isOther);
     break;
   case RolloutPhase::Completed:
-    if (!rollout.isLongOver(now) && !std::ranges::all_of(candidates, isFormer))
-      std::erase_if(candidates, isFormer);
+    if (!rollout.isLongOver(now))
+      narrowWhileEnding(candidates, rollout);
     break;
   }
 }
--- a/test/platform/RolloutsTest.cpp
+++ b/test/platform/RolloutsTest.cpp
@@ -4,6 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <fstream>
+#include <optional>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace plantainhatch;
@@ -60,6 +64,31 @@
     return Fleet::waitUntil(isReached, Limit);
   }
 
+  /** Of \p count calls through a machine, how many were answered. */
+  unsigned runsAt(std::size_t machine, unsigned count) {
+    unsigned good = 0;
+    for (unsigned n = 0; n < count; ++n) {
+      const std::string id = "r-" + std::to_string(++calls);
+      const auto answer = site.call(machine, "GET", "/v1/x", id);
+      good += answer.status == 200 ? 1 : 0;
+    }
+    return good;
+  }
+
+  /** The decision to take the version back, if it was logged. */
+  std::optional<json> findFault() {
+    for (const auto &machine : site.machines) {
+      std::ifstream log(machine->logFile + ".out");
+      for (std::string line; std::getline(log, line);) {
+        json entry = json::parse(line, nullptr, false);
+        if (entry.is_object() && entry.value("phase", "") == "rolled-back" &&
+            entry.value("bad", 0) > 0)
+          return entry;
+      }
+    }
+    return std::nullopt;
+  }
+
   unsigned runsOfNew() const { return site.machines[New]->target->runCount(); }
 };
 
@@ -100,6 +129,34 @@
   LONGS_EQUAL(before + 40, runsOfNew());
 }
 
+// Guards against a broken answer that counts as a good one as well.
+TEST(Rollouts, BrokenAnswersCountOnce) {
+  start();
+  order("v2", 60);
+  CHECK(callUntil("running"));
+  startNewVersion(SiteTarget::Manner::BreakOff);
+  CHECK(callUntil("rolled_back"));
+  std::optional<json> fault;
+  CHECK(Fleet::waitUntil([&] { return (fault = findFault()).has_value(); }));
+  LONGS_EQUAL(fault->at("bad").get<int>(), fault->at("answers").get<int>());
+}
+
+// Guards against refused calls at a node that starts anew when the service has
+// only the version that it was moved to.
+TEST(Rollouts, RestartedNodeServesWithTheCompletedVersionAtOnce) {
+  start();
+  order("v2", 4);
+  CHECK(callUntil("running"));
+  startNewVersion(SiteTarget::Manner::Answer);
+  CHECK(callUntil("completed"));
+  for (std::size_t n = 0; n < New; ++n)
+    LONGS_EQUAL(200, site.beat(n, "draining"));
+  site.machines[0]->node.reset();
+  site.startNode(0);
+  CHECK(Fleet::waitUntil([&] { return site.isReady(0); }));
+  LONGS_EQUAL(20, runsAt(0, 20));
+}
+
 // Guards against a decision that is forgotten because the store is away when it
 // is made.
 TEST(Rollouts, RollBackIsWrittenOnceTheStoreIsBack) {
