--- a/src/node/RolloutTask.cpp
+++ b/src/node/RolloutTask.cpp
@@ -3,7 +3,6 @@
 #include "process/Rendezvous.h"
 
 #include <algorithm>
-#include <cassert>
 #include <limits>
 #include <ranges>
 
@@ -55,14 +54,14 @@
     return;
   for (const RolloutRule &rule :
        configuration.current()->rollouts() | std::views::values)
-    order(rule, *site->rollout);
+    order(rule, *site->rollout, *format);
   if (!entries.empty() && !timer.isRunning())
     timer.startRepeating(TickInterval, [this] { tick(); });
 }
 
 void RolloutTask::order(const RolloutRule &rule,
-                        const RolloutSettings &settings) {
-  assert(format && "orders come only with a place for the rows");
+                        const RolloutSettings &settings,
+                        const RolloutStatusFormat &rowFormat) {
   const TimePoint now = NodeServices::now();
   const auto known = entries.find(rule.service);
   if (known == entries.end()) {
@@ -73,7 +72,7 @@
     entries.emplace(rule.service,
                     Entry{Rollout(rule, limits, services.random(), now),
                           {},
-                          new RolloutRow(services, *format, rule),
+                          new RolloutRow(services, rowFormat, rule),
                           {},
                           {},
                           {},
@@ -83,7 +82,7 @@
     Entry &entry = known->second;
     entry.rollout.order(rule, now);
     entry.verdict = {};
-    entry.row.reset(new RolloutRow(services, *format, rule));
+    entry.row.reset(new RolloutRow(services, rowFormat, rule));
     entry.reportedAt = {};
     entry.repeats = 0;
   } else {
--- a/src/node/RolloutTask.h
+++ b/src/node/RolloutTask.h
@@ -77,7 +77,8 @@
   std::map<std::string, Entry> entries;
   Timer timer;
 
-  void order(const RolloutRule &rule, const RolloutSettings &settings);
+  void order(const RolloutRule &rule, const RolloutSettings &settings,
+             const RolloutStatusFormat &rowFormat);
   void tick();
   void step(Entry &entry);
   void report(Entry &entry);
