Try versions out with the calls that targets get after the move

Cause: trial targets got as many calls as the others. A version with half as many targets gets twice of that after the move, so that one that fails under load was completed.

Change: the number of trial targets goes by the ordered targets, or by half of the others if these are more. TrialsGoToFewWarmTargets had 8 ordered targets for 60 others, for which there is one trial target now; it has 50, for which there are two, and checks the same.

Result: Rollout.TrialTargetsGetAboutAsManyCallsAsAfterTheMove replaces TrialTargetsGetAboutAsManyCallsAsOthers, failed before and passes.

--- a/src/request/narrowToRollout.cpp
+++ b/src/request/narrowToRollout.cpp
@@ -26,8 +26,8 @@
 /** Leaves the few targets of the ordered version that all nodes try out. */
 void keepTrialTargets(std::vector<Candidate> &candidates,
                       const Rollout &rollout) {
-  const auto otherCount =
-      static_cast<std::size_t>(std::ranges::count_if(candidates, isOther));
+  const std::ptrdiff_t otherCount = std::ranges::count_if(candidates, isOther);
+  const std::ptrdiff_t orderedCount = std::ssize(candidates) - otherCount;
   keep(candidates, mayTryOut);
   const auto isWarm = [](const Candidate &it) {
     return !it.load.isCold && !it.isSuspect;
@@ -40,9 +40,11 @@
   std::ranges::sort(candidates, {}, [&](const Candidate &it) {
     return stableHash(it.peersAddress.toString() + "/" + task);
   });
-  // As many as get about the calls of one of the others each.
+  // As many as get about the calls of after the move each, so that faults under
+  // load show before, but about twice the usual ones at most.
+  const auto usual = std::max(orderedCount, otherCount / 2);
   const auto count = static_cast<std::size_t>(
-      std::lround(static_cast<double>(otherCount) * rollout.trialShare()));
+      std::lround(static_cast<double>(usual) * rollout.trialShare()));
   candidates.resize(
       std::min(candidates.size(), std::max<std::size_t>(1, count)));
 }
