--- a/src/node/QuotaTask.cpp
+++ b/src/node/QuotaTask.cpp
@@ -12,16 +12,11 @@
 /** Answers to earlier questions for pledges are not counted. */
 constexpr std::size_t OpenPledgeQuestions = 4;
 constexpr double Half = 0.5;
+/** Quotas hold over any time. */
+constexpr std::chrono::milliseconds Window{0};
 
 std::size_t groupOf(std::uint64_t team) { return team % QuotaTask::Groups; }
 
-/** What the keepers hand out. Half of what calls may pass a quota by is kept
- * for tokens that end unused. */
-QuotaLimit limitOf(const TeamRule &team, const QuotaSettings &settings) {
-  return {team.callsPerSecond * (1 + settings.overage * Half),
-          std::max(team.burst, 1.0) + settings.slack * Half};
-}
-
 } // namespace
 
 QuotaTask::QuotaTask(NodeServices &services, PeerTask &peers,
@@ -41,7 +36,8 @@
        configuration.current()->teamRules() | std::views::values)
     if (it.hasQuota()) {
       const std::uint64_t team = stableHash(it.name);
-      limits.at(groupOf(team))[team] = limitOf(it, services.settings.quota);
+      limits.at(groupOf(team))[team] = QuotaLimit::within(
+          it.callsPerSecond, it.burst, services.settings.quota, Window);
     }
   hasQuotas =
       std::ranges::any_of(limits, [](const auto &it) { return !it.empty(); });
--- a/src/node/QuotaTask.h
+++ b/src/node/QuotaTask.h
@@ -45,7 +45,7 @@
   /** Groups of teams, so that the loss of a keeper touches few of them. */
   static constexpr std::size_t Groups = 8;
   /** How long a call waits for an answer of a keeper. */
-  static constexpr std::chrono::milliseconds MaxWait{150};
+  static constexpr std::chrono::milliseconds MaxWait{600};
   /** A question that is not answered for this long is asked again. */
   static constexpr std::chrono::milliseconds QueryLimit{40};
   /** A keeper that leaves as many questions in a row unanswered is passed over
--- a/test/correctness/QuotaTest.cpp
+++ b/test/correctness/QuotaTest.cpp
@@ -2,6 +2,8 @@
  * Quotas over the whole fleet, without a network: nodes, keepers and their
  * messages in random orders of events on a simulated clock. */
 #include "base/Settings.h"
+#include "connection/MessageCodec.h"
+#include "node/QuotaTask.h"
 #include "process/QuotaKeeper.h"
 #include "process/QuotaPocket.h"
 
@@ -584,8 +586,24 @@
     CHECK_FALSE(keeper.grant(addressOf(0), {Team, 1, 0}, Start).hasPart);
   keeper.onPledge(addressOf(1), Start, 3, Start);
   keeper.onPledge(addressOf(2), Start, 3, Start);
-  CHECK_EQUAL(100,
-              keeper.grant(addressOf(0), {Team, 1, 0}, Start).wait.count());
+  const QuotaGrant grant = keeper.grant(addressOf(0), {Team, 1, 0}, Start);
+  CHECK_EQUAL(100, grant.wait.count());
+}
+
+// Guards against pledges that take more than a node may spend for control.
+TEST(Quota, PledgesOfALargeFleetFitEachNode) {
+  constexpr std::size_t BytesPerSecond = 19'000;
+  const MessageCodec codec("0123456789abcdef");
+  MessageHeader header;
+  header.cluster = "fleet";
+  header.sender = {"10.123.101.211", 18'646};
+  const auto sizeOf = [&](const MessageBody &body) {
+    return codec.encode(Message{header, body, {}, {}}).size();
+  };
+  const std::size_t size =
+      sizeOf(QuotaPledgeQuery{}) + sizeOf(QuotaPledgeAnswer{});
+  CHECK(QuotaTask::Groups * (seconds(1) / QuotaTask::PledgeInterval) * size <
+        BytesPerSecond);
 }
 
 TEST(Quota, RefusedCallGivesBackItsTokenOnce) {
