--- a/test/platform/TeamCallsTest.cpp
+++ b/test/platform/TeamCallsTest.cpp
@@ -242,7 +242,8 @@
                          std::size_t left = SIZE_MAX) {
     const std::size_t first = answers.size();
     const auto startedAt = std::chrono::steady_clock::now();
-    for (double n = 0; n < perSecond * time.count(); ++n) {
+    const auto count = static_cast<unsigned>(perSecond * time.count());
+    for (unsigned n = 0; n < count; ++n) {
       const std::size_t at = answers.size() % site.machines.size();
       send(at == left ? (at + 1) % site.machines.size() : at);
       const auto nextAt =
