Mend what the linter found in tests of quotas and of room

Cause: six findings (a loop over a floating point number, braces, a vector that grows in a loop). Change: the same arrivals and checks in other words.

--- a/test/correctness/QuotaTest.cpp
+++ b/test/correctness/QuotaTest.cpp
@@ -365,7 +365,10 @@
   std::vector<TimePoint> arrivals;
   double left = 0;
   double at = 0;
-  for (double next = gap(random); next < Span; next += gap(random)) {
+  while (true) {
+    const double next = at + gap(random);
+    if (next >= Span)
+      return arrivals;
     left = std::min(limit.burst, left + (next - at) * limit.callsPerSecond);
     at = next;
     const bool isQuiet = period > 0 && std::fmod(next, period) < period / 2;
@@ -375,7 +378,6 @@
     arrivals.push_back(Start + std::chrono::round<Duration>(
                                    std::chrono::duration<double>(next)));
   }
-  return arrivals;
 }
 
 /** Poisson arrivals at 0.6 of \p perSecond, and later at 2.5 times of it. */
@@ -401,11 +403,11 @@
 // out though they were used, that end unused, or that are lost as a bucket is
 // full.
 TEST(Quota, CallsWithinAQuotaAreNotRefused) {
-  for (const milliseconds window : {milliseconds(0), Window})
+  for (const milliseconds window : {milliseconds(0), Window}) {
     for (const QuotaLimit rule :
          {QuotaLimit{2, 2}, QuotaLimit{14, 14}, QuotaLimit{60, 60},
-          QuotaLimit{60, 15}, QuotaLimit{243, 243}, QuotaLimit{243, 60}})
-      for (const double period : {0.0, 0.2, 2.0, 8.0})
+          QuotaLimit{60, 15}, QuotaLimit{243, 243}, QuotaLimit{243, 60}}) {
+      for (const double period : {0.0, 0.2, 2.0, 8.0}) {
         for (unsigned seed = 1; seed <= 2; ++seed) {
           const auto arrivals =
               arrivalsWithin(rule, rule.callsPerSecond * 0.9, period, seed);
@@ -426,6 +428,9 @@
                             std::to_string(seed))
                                .c_str());
         }
+      }
+    }
+  }
 }
 
 // Guards against a team that turns hot and is refused before it has had what
@@ -433,7 +438,7 @@
 TEST(Quota, TeamIsRefusedOnlyOnceItHasHadItsQuota) {
   const double span = std::chrono::duration<double>(Window).count();
   for (const QuotaLimit rule : {QuotaLimit{2, 2}, QuotaLimit{14, 14},
-                                QuotaLimit{60, 60}, QuotaLimit{243, 243}})
+                                QuotaLimit{60, 60}, QuotaLimit{243, 243}}) {
     for (unsigned seed = 1; seed <= 3; ++seed) {
       const double allowed = rule.callsPerSecond * span + rule.burst;
       const double most = allowed * (1 + Beyond.overage) + Beyond.slack;
@@ -460,6 +465,7 @@
         }
       CHECK(refused > 0);
     }
+  }
 }
 
 // Guards against calls beyond a quota while keepers die, are cut off, freeze,
--- a/test/correctness/RoomTest.cpp
+++ b/test/correctness/RoomTest.cpp
@@ -93,9 +93,8 @@
 
 // Load: one team sends many times its usual, others what they always do.
 TEST(Room, TeamThatSendsManyTimesItsUsualIsTurnedAwayFirst) {
-  std::vector<WaitingCall> calls;
-  for (unsigned n = 0; n < 12; ++n)
-    calls.push_back(makeCall("hot", milliseconds(5'000), milliseconds(100)));
+  std::vector<WaitingCall> calls(
+      12, makeCall("hot", milliseconds(5'000), milliseconds(100)));
   calls.push_back(makeCall("usual", milliseconds(5'000), milliseconds(100)));
   calls.push_back(makeCall("other", milliseconds(5'000), milliseconds(100)));
   const RoomPlan plan = planRoom(calls, oneSlot(4));
