Start programs that end at once without a fault of the test

Cause: ChildProcess read the identifier of a program that may have ended already, for which there is none; the test program then ended by signal 11. Change: such a program has the identifier 0.

--- a/test/support/ChildProcess.cpp
+++ b/test/support/ChildProcess.cpp
@@ -27,7 +27,9 @@
     std::cerr << words.front() << ": " << error->message << "\n";
     std::abort();
   }
-  processId = std::atoi(g_subprocess_get_identifier(process.get()));
+  // There is none any more if the program has ended already.
+  const char *const identifier = g_subprocess_get_identifier(process.get());
+  processId = identifier == nullptr ? 0 : std::atoi(identifier);
 }
 
 ChildProcess::~ChildProcess() { kill(); }
