Review: an answer that breaks off takes those behind it along

When an answer of more than 64 KiB breaks off, the requests behind it on its connection, which sound workers have answered, end without an answer.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -128,10 +128,8 @@
                 answer = await self.answer(reader, *request)
                 if answer is None:
                     break
-                status, headers, body = answer
-                first = "HTTP/1.1 %d %s" % (status, REASONS.get(status, "-"))
-                writer.write(message(first, headers, body))
-                await writer.drain()
+                if not await self.send(writer, *answer):
+                    break
         except (ConnectionError, asyncio.IncompleteReadError,
                 asyncio.CancelledError, ValueError):
             pass
@@ -139,6 +137,13 @@
             self.tasks.discard(task)
             writer.close()
 
+    async def send(self, writer, status, headers, body):
+        """Returns whether the connection goes on."""
+        first = "HTTP/1.1 %d %s" % (status, REASONS.get(status, "-"))
+        writer.write(message(first, headers, body))
+        await writer.drain()
+        return True
+
 
 class Store(HttpServer):
     """The platform's store. In the mode "silent" it does nothing and answers
@@ -395,6 +400,8 @@
         self.address = {name: "%s:%d" % (self.host, port)
                         for name, port in ports.items()}
         self.port = ports
+        self.settings_path = os.path.join(site.folder,
+                                          "node-%d.json" % number)
         self.process = None
         self.starts = 0
         self.may_beat = True
@@ -420,7 +427,7 @@
 
     def start(self):
         self.starts += 1
-        path = os.path.join(self.site.folder, "node-%d.json" % self.number)
+        path = self.settings_path
         with open(path, "w", encoding="utf-8") as file:
             json.dump(self.settings(), file)
         log = open(os.path.join(self.site.folder, "node-%d-%d.log" %
@@ -497,9 +504,9 @@
         self.links = []
         self.sent = 0
 
-    def add(self, zone, service, **options):
+    def add(self, zone, service, kind=None, **options):
         number = len(self.machines)
-        worker = Worker(self.record, "127.%d.1.%d" % (NET, number + 1),
+        worker = (kind or Worker)(self.record, "127.%d.1.%d" % (NET, number + 1),
                         "i-%d%d" % (number, os.getpid()), service, **options)
         self.machines.append(Machine(self, number, zone, worker))
         return self.machines[-1]
