Review: the scripts name their record, and write it also if they can't run

The stand-ins take the record's file as an argument and say there why a run couldn't start. Shown in a clean clone without the build: exit 2, with a record.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -28,7 +28,7 @@
     """What was sent, answered and run, with the seconds since the start."""
 
     def __init__(self, path):
-        self.file = open(path, "w", encoding="utf-8")
+        self.file = open(path, "a", encoding="utf-8")
         self.start = time.monotonic()
 
     def now(self):
@@ -422,7 +422,7 @@
                 "metrics": self.address["metrics"],
                 "target": "%s:%d" % (self.worker.host, self.worker.port),
                 "service": self.worker.service,
-                "stopGraceSeconds": 6, "coldOverage": 1.5, "coldSlack": 5,
+                "stopGraceSeconds": self.site.grace_s, "coldOverage": 1.5, "coldSlack": 5,
                 "retryRatio": 0.2, "retryExtra": 56, "probesPerSecond": 60}}
 
     def start(self):
@@ -495,14 +495,15 @@
 class Site:
     """All of a small deployment, in a temporary folder."""
 
-    def __init__(self, folder):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record):
+        self.record = record
         self.folder = tempfile.mkdtemp(prefix="site-")
         self.store = Store("127.%d.0.1" % NET)
         self.machines = []
         self.tasks = []
         self.links = []
         self.sent = 0
+        self.grace_s = 6
 
     def add(self, zone, service, kind=None, **options):
         number = len(self.machines)
@@ -585,11 +586,14 @@
 
 def main(folder, scenario):
     """Runs a scenario: 1 if it says that the rule was broken, 0 if it held,
-    and 2 if it could not run."""
+    and 2 if it could not run. The record is written to the file that the first
+    argument names."""
+    record = Record(os.path.join(folder, sys.argv[1]))
     if not os.path.exists(os.path.join(ROOT, "target/bin/plantainhatchd")):
-        print("target/bin/plantainhatchd has not been built")
+        record("COULD NOT RUN: target/bin/plantainhatchd has not been built")
+        record("RESULT 2")
         sys.exit(2)
-    site = Site(folder)
+    site = Site(record)
 
     async def run():
         # At the end, connections are cut in the middle of their work.
