--- a/review/6/scenario.py
+++ b/review/6/scenario.py
@@ -68,6 +68,7 @@
 
 async def scenario(site):
     record = site.record
+    site.grace_s = 10
     for number in range(4):
         site.add("zone-%d" % number, "shop",
                  work=lambda method, path: (WORK_S if "certificates" in path
